--- a/include/pollenhitch/admission.h
+++ b/include/pollenhitch/admission.h
@@ -44,6 +44,7 @@
   uint16_t port;       /* of the upstream process that in_flight counts */
   PhLimit limit;
   PhColdStart cold;
+  PhColdRate cold_rate; /* in place of cold when the service says what a cold upstream bears */
   PhWaitQueue queue;
   uint32_t queued; /* attempts in the queue */
   PhTime queue_timer_at;
@@ -52,6 +53,7 @@
   bool was_waiting;            /* attempts were waiting at the last release */
   bool was_out;                /* the data centre was out of service */
   bool is_marked;              /* the admission system has to run */
+  uint32_t slowness;           /* last told by the upstream, see PhLoad */
 } PhAdmission;
 
 /* ph_admission_init: set the default policy. Run by ph_world_new. */
@@ -86,6 +88,9 @@
 /* ph_admission_begin_cold: the local upstream is cold from now on. */
 void ph_admission_begin_cold (PhContext *ctx, PhWorld *world, bool is_announced);
 
+/* ph_admission_cold_told: the upstream itself says how long it stays cold; 0 when it is warm. */
+void ph_admission_cold_told (PhContext *ctx, PhWorld *world, PhTime left);
+
 /* ph_admission_load: what to report on responses and refusals. */
 PhLoad ph_admission_load (const PhWorld *world);
 
--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -1,7 +1,7 @@
 #ifndef PH_CALL_H
 #define PH_CALL_H
 
-#include "pollenhitch/upstream.h"
+#include "pollenhitch/route.h"
 
 /*
  * Calls and attempts.
@@ -63,7 +63,10 @@
   PH_REASON_TOO_LARGE,
   PH_REASON_CALLER_LIMIT,
   PH_REASON_TABLE_FULL,
-  PH_REASON_CALLER_LEFT, /* the caller closed its side of the connection */
+  PH_REASON_CALLER_LEFT,      /* the caller closed its side of the connection */
+  PH_REASON_NO_CONFIGURATION, /* no routes are in force yet */
+  PH_REASON_OBJECTIVE,        /* would start too late to be of use, and others wait */
+  PH_REASON_COLD,             /* the upstream is cold and gets only so many calls a second */
   PH_REASON_COUNT
 } PhReason;
 
@@ -92,7 +95,11 @@
   bool can_resend; /* the whole request body is still held; kept up to date by the runtime */
   bool is_rerun;   /* came with the mark of a rerun: see ph_attempt_is_rerun */
   uint8_t depth;
-  uint8_t route; /* bucket of method and path, see ph_move_route */
+  uint8_t route;        /* bucket of method and path, see ph_move_route */
+  bool is_bulk;         /* a large response is expected */
+  uint8_t priority;     /* 0 is the most urgent */
+  uint8_t attempts_max; /* upstreams that the call may reach */
+  uint8_t arrivals;     /* attempts that reached an upstream */
   uint8_t tried_count;
   uint8_t open_attempts;
   uint8_t maybe_run_count; /* ended attempts that an upstream may have seen */
@@ -100,6 +107,7 @@
   PhUpstreamId pinned; /* of a call from another node: the local upstream */
   PhTime opened_at;
   PhTime deadline;
+  PhTime objective_at; /* a response after this is of little use; PH_TIME_NEVER for none */
   PhAttemptId attempt; /* the latest */
   PhAttemptId hedge;   /* second concurrent attempt, or 0 */
   PhTime hedge_at;     /* 0 for no hedge, or none any more */
@@ -136,6 +144,7 @@
   int status;
   PhRun run;
   PhReason reason;
+  PhTime retry_after; /* when to come back, 0 when coming back is of no use */
 } PhRefusal;
 
 typedef struct
@@ -147,7 +156,12 @@
   bool can_resend;
   bool is_rerun; /* the request came with the mark of a rerun */
   uint32_t depth;
-  uint32_t route;          /* see ph_move_route */
+  uint32_t route;         /* see ph_move_route */
+  PhServiceId service_id; /* used instead of service when it is not 0 */
+  bool is_bulk;
+  uint32_t priority;
+  uint32_t attempts_max;   /* 0 for PH_TRIED_MAX */
+  PhTime objective;        /* time until the response is of little use; 0 for none */
   PhTime time_left;        /* until the deadline; 0 for the service's default */
   uint64_t upstream_epoch; /* of a call from another node: the upstream it chose */
   void *user;
--- a/include/pollenhitch/cold.h
+++ b/include/pollenhitch/cold.h
@@ -31,6 +31,29 @@
   double mean_us; /* mean latency at the level before, 0 for none */
 } PhColdStart;
 
+/*
+ * Rate of calls to a cold upstream that says what it bears.
+ *
+ * A token bucket that holds BURST tokens, so that any second sees at most the
+ * rate and the burst.
+ */
+typedef struct
+{
+  PhTime until; /* the upstream is cold before */
+  double tokens;
+  PhTime at; /* when the tokens were counted */
+} PhColdRate;
+
+/* ph_cold_rate_begin: cold until a time, as far as is known. */
+void ph_cold_rate_begin (PhColdRate *rate, PhTime now, PhTime until);
+bool ph_cold_rate_is_cold (const PhColdRate *rate, PhTime now);
+
+/* ph_cold_rate_take: take the token of one call, or return false. */
+bool ph_cold_rate_take (PhColdRate *rate, PhTime now, double per_s);
+
+/* ph_cold_rate_next: when the next token is there. */
+PhTime ph_cold_rate_next (const PhColdRate *rate, PhTime now, double per_s);
+
 /* ph_cold_begin: the upstream is cold from now on; max is its number of slots. */
 void ph_cold_begin (PhColdStart *cold, PhTime now, bool is_announced, double max);
 
--- a/include/pollenhitch/config.h
+++ b/include/pollenhitch/config.h
@@ -1,6 +1,7 @@
 #ifndef PH_CONFIG_H
 #define PH_CONFIG_H
 
+#include "pollenhitch/route.h"
 #include "pollenhitch/upstream.h"
 
 /*
@@ -25,9 +26,13 @@
   PH_OBJECT_MOVE,
   PH_OBJECT_BUDGET,
   PH_OBJECT_UPSTREAM_RULES,
+  PH_OBJECT_ROUTES, /* all routes, services and limits of a deployment in one object */
   PH_OBJECT_KIND_COUNT
 } PhObjectKind;
 
+/* Kinds of objects under a team's path; those after them come from a platform. */
+#define PH_OBJECT_TEAM_KINDS PH_OBJECT_ROUTES
+
 typedef struct
 {
   char name[PH_NAME_MAX];
@@ -35,6 +40,13 @@
   bool is_out;
 } PhDataCentreSpec;
 
+typedef enum
+{
+  PH_MOVE_OPEN,
+  PH_MOVE_DONE,
+  PH_MOVE_TAKEN_BACK
+} PhMoveOutcome;
+
 typedef struct
 {
   char service[PH_NAME_MAX]; /* "team/service" */
@@ -43,6 +55,11 @@
   int64_t start_us;    /* wall clock */
   int64_t deadline_us; /* wall clock */
   bool is_cancelled;
+  /* Of a platform whose moves begin when they are ordered: start_us and deadline_us are 0. */
+  PhTime duration;           /* from the order to the deadline; 0 for a move with clock times */
+  uint64_t created_revision; /* of the store, when the object was created */
+  bool is_reported;          /* the object says how this move stands */
+  PhMoveOutcome reported;
 } PhMoveSpec;
 
 typedef struct
@@ -51,7 +68,7 @@
   uint32_t probes_per_minute;
 } PhBudgetSpec;
 
-typedef struct
+typedef struct PhServiceSpec
 {
   char service[PH_NAME_MAX]; /* "team/service" */
   PhServiceRules rules;
@@ -78,6 +95,7 @@
     PhMoveSpec move;
     PhBudgetSpec budget;
     PhUpstreamRulesSpec upstream_rules;
+    PhRouteSet *routes; /* owned by the object until it is in force, then NULL */
   } spec;
 } PhObject;
 
@@ -101,6 +119,16 @@
 
 PH_DECLARE_TABLE (PhObjectRow, PhObjectId, ph_object)
 
+#define PH_CONFIG_LISTS_MAX 4
+
+/* Objects under a path prefix, as the store listed them last. */
+typedef struct
+{
+  char prefix[PH_NAME_MAX];
+  uint64_t revision; /* of the newest list that was read */
+  uint32_t count;    /* lists that were read */
+} PhConfigList;
+
 /*
  * Decodes an object's text. Fills in *object (path, revision and is_deleted are
  * set already). Returns false with err naming path, field and what is allowed.
@@ -134,12 +162,13 @@
 void ph_config_listed (PhWorld *world, const char *path);
 
 /*
- * ph_config_list_end: the list of the store at a revision was read to its end.
+ * ph_config_list_end: the list of the store's objects under a path prefix was read to its end, as
+ * of a revision.
  *
  * Objects that it did not hold were deleted, also those that other nodes bring later, unless the
  * store answered from an older state than this node has seen. Returns false in that case.
  */
-bool ph_config_list_end (PhContext *ctx, PhWorld *world, uint64_t revision);
+bool ph_config_list_end (PhContext *ctx, PhWorld *world, const char *prefix, uint64_t revision);
 
 /* ph_config_digest: one number for the revisions held and the state of moves; equal tables have
  * equal digests. */
--- a/include/pollenhitch/log.h
+++ b/include/pollenhitch/log.h
@@ -15,6 +15,12 @@
 bool ph_log_start (const char *node, const char *level, PhError *err);
 void ph_log_stop (void);
 
+/* ph_log_level_check: whether a text names a level; err tells which there are. */
+bool ph_log_level_check (const char *level, PhError *err);
+
+/* ph_log_set_level: change the level while the program runs; an unknown one changes nothing. */
+void ph_log_set_level (const char *level);
+
 /* ph_log_write: a PhLogFunc. */
 void ph_log_write (void *user, PhLogLevel level, PhStep step, const char *peer, const char *text);
 
--- a/include/pollenhitch/member.h
+++ b/include/pollenhitch/member.h
@@ -39,6 +39,7 @@
   bool has_upstream;
   char service[PH_NAME_MAX];
   char version[PH_VERSION_MAX];
+  uint64_t upstream_epoch; /* of the upstream's start, see PhUpstream */
   PhUpstreamState upstream_state;
   uint32_t slots;
   uint32_t connections;
--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -42,13 +42,6 @@
   PH_MOVE_REASON_COUNT
 } PhMoveReason;
 
-typedef enum
-{
-  PH_MOVE_OPEN,
-  PH_MOVE_DONE,
-  PH_MOVE_TAKEN_BACK
-} PhMoveOutcome;
-
 /* Counts of one node beside an upstream; they only grow. */
 typedef struct
 {
@@ -106,11 +99,14 @@
   bool is_bad;
   PhMoveReason reason;
   uint32_t route;
-  bool is_waiting;      /* another move of the service goes first */
-  bool is_written;      /* the final verdict is in the store */
-  PhTime verdict_at;    /* when flags of other nodes have had time to come */
-  PhTime stage_at;      /* when this node saw the stage begin */
-  uint32_t stage_calls; /* of the new version, known here at that time */
+  bool is_waiting;          /* another move of the service goes first */
+  bool is_written;          /* the final verdict is in the store */
+  bool is_open_written;     /* the store says that the move has begun */
+  uint64_t object_revision; /* of the object in the store, for conditional writes */
+  PhTime begun_at;          /* when this node knew of the move */
+  PhTime verdict_at;        /* when flags of other nodes have had time to come */
+  PhTime stage_at;          /* when this node saw the stage begin */
+  uint32_t stage_calls;     /* of the new version, known here at that time */
   PhTime looked_at;
   PhEvidenceId own; /* row of this node's counts */
   PhTime sent_at;   /* own evidence */
--- a/include/pollenhitch/probe.h
+++ b/include/pollenhitch/probe.h
@@ -45,6 +45,7 @@
   uint32_t open_generation;
   uint32_t failures; /* probes failed in a row, with no success of a call between */
   PhTime down_until; /* no call is admitted before; then one is tried */
+  bool is_wanted;    /* a check is due whatever the calls tell; see ph_probe_want */
 } PhProbe;
 
 /* ph_probe_init: start the schedule. Run by ph_world_new. */
@@ -60,6 +61,14 @@
  */
 void ph_probe_result (PhContext *ctx, PhWorld *world, PhUpstreamId id, bool is_ok, PhTime latency);
 
+/*
+ * ph_probe_want: a health check is to be sent as soon as the budget allows.
+ *
+ * Used when the state of the upstream is not known: its node has started, or it
+ * may have turned cold.
+ */
+void ph_probe_want (PhContext *ctx, PhWorld *world);
+
 /* ph_probe_note: an attempt at the local upstream ended. */
 void ph_probe_note (PhContext *ctx, PhWorld *world, PhOutcome outcome);
 
--- a/include/pollenhitch/settings.h
+++ b/include/pollenhitch/settings.h
@@ -47,6 +47,10 @@
                         void *target,
                         PhError *err);
 
+/* ph_settings_store: check a value and store it in the struct at target. Returns false with err
+ * naming the setting, the value and what is allowed, and target as it was. */
+bool ph_settings_store (const PhSetting *setting, const char *value, void *target, PhError *err);
+
 /* ph_settings_argument: the one argument that a subcommand takes besides its flags. Returns false
  * with err set when there is none or more than one. */
 bool
--- a/include/pollenhitch/upstream.h
+++ b/include/pollenhitch/upstream.h
@@ -14,6 +14,7 @@
 
 #define PH_SERVICE_UPSTREAMS_MAX 1024 /* upstreams of one service */
 #define PH_VERSION_MAX 32
+#define PH_HEALTH_PATH_MAX 128
 
 typedef struct
 {
@@ -70,6 +71,7 @@
   uint32_t queued;
   uint32_t limit;
   uint32_t latency_us; /* smoothed time of a response at the upstream */
+  uint32_t slowness;   /* time that work takes there now, in percent of the usual; 0 unknown */
 } PhLoad;
 
 typedef struct
@@ -80,8 +82,9 @@
   char version[PH_VERSION_MAX];
   PhUpstreamState state;
   bool is_local;
-  uint64_t epoch; /* start time of its node; an announcement of an older epoch is ignored */
-  uint16_t port;  /* of the upstream itself, used only when it is local */
+  uint64_t epoch; /* of its start, or of its node's; an announcement of an older one is ignored */
+  char instance[PH_NAME_MAX]; /* local: the name that this start of the upstream goes by, or "" */
+  uint16_t port;              /* of the upstream itself, used only when it is local */
   uint32_t slots;
   uint32_t connections;
   uint32_t service_index; /* position in the service's list */
@@ -105,6 +108,10 @@
   uint32_t queue_ms;          /* longest wait in the queue beside an upstream */
   uint32_t retry_percent;     /* retries as a share of calls */
   uint32_t probes_per_minute; /* for the whole service */
+  double cold_per_s;          /* calls a second that a cold upstream bears; 0: not known */
+  PhTime cold_time;           /* how long an upstream stays cold after its start */
+  uint32_t connections_max;   /* of an upstream, from all callers; 0: as announced */
+  char health_path[PH_HEALTH_PATH_MAX]; /* of the health check, "" for the node's setting */
 } PhServiceRules;
 
 #define PH_RULE_VERSIONS_MAX 8
@@ -150,7 +157,8 @@
   PhDataCentreId data_centre;
   PhMemberId member;
   bool is_local;
-  uint64_t epoch;
+  uint64_t epoch;       /* 0: the epoch of this node's process */
+  const char *instance; /* of the local upstream; NULL when it has no name of its own */
   uint16_t port;
   uint32_t slots;
   uint32_t connections;
@@ -195,6 +203,9 @@
 bool
 ph_upstream_announce (PhContext *ctx, PhWorld *world, const PhUpstreamOptions *opts, PhError *err);
 
+/* ph_upstream_withdraw: the local upstream is gone. */
+void ph_upstream_withdraw (PhContext *ctx, PhWorld *world);
+
 /* ph_upstream_announce_timer: the announcement of the local upstream may have run out. */
 void ph_upstream_announce_timer (PhContext *ctx, PhWorld *world, uint32_t handle);
 
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -7,6 +7,8 @@
 #include "pollenhitch/config.h"
 #include "pollenhitch/member.h"
 #include "pollenhitch/probe.h"
+#include "pollenhitch/registration.h"
+#include "pollenhitch/route.h"
 #include "pollenhitch/table.h"
 #include "pollenhitch/timer.h"
 #include "pollenhitch/upstream.h"
@@ -56,6 +58,9 @@
   uint32_t upstreams;
   uint32_t services;
   uint32_t objects;
+  uint32_t routes;
+  PhTime announce_ttl; /* of the local upstream's announcement; 0 for PH_ANNOUNCE_TTL */
+  const char *service; /* of the local upstream, when it is known from settings, or NULL */
   PhObjectDecodeFunc decode;
   void *decode_user;
   PhChooseFunc choose; /* NULL for ph_choose_two */
@@ -88,20 +93,27 @@
   PhTable objects;
   PhTable moves;
   PhTable evidence;
+  PhTable routes;
   PhIndex service_index;
   PhIndex member_index;
   PhIndex object_index;
+  PhIndex route_index;
   PhTimerHeap timers;
   PhQueue marked_calls;
   PhAdmission admission;
   PhProbe probe;
+  PhRegistration registration;
   PhMembership membership;
   PhDataCentreId data_centre; /* own */
   uint64_t epoch;
-  uint64_t config_revision; /* highest applied */
-  uint64_t listed_revision; /* of the newest list of the store that this node read */
+  uint64_t config_revision;                /* highest applied */
+  PhConfigList lists[PH_CONFIG_LISTS_MAX]; /* of the store that this node read */
+  uint32_t list_count;
   PhTime config_changed_at;
-  uint32_t config_lists; /* lists of the store that were read */
+  uint32_t route_generation; /* rises with each set of routes */
+  bool has_routes;           /* a set of routes is in force */
+  PhCallerLimits caller_limits;
+  PhTime announce_ttl;
   uint64_t object_digests[PH_SYNC_BUCKETS];
   uint32_t traced_limit; /* of the last limit event */
   bool is_stopping;
--- a/source/client/settings.c
+++ b/source/client/settings.c
@@ -89,6 +89,16 @@
   return true;
 }
 
+bool
+ph_settings_store (const PhSetting *setting, const char *value, void *target, PhError *err)
+{
+  Source source = { setting, NULL };
+  void *field = (char *)target + setting->offset;
+
+  return setting->kind == PH_SETTING_NUMBER ? store_number (&source, value, field, err)
+                                            : store_text (&source, value, field, err);
+}
+
 static bool
 store_value (const PhSetting *setting, const char *flag, void *target, PhError *err)
 {
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -67,6 +67,42 @@
   return max > 0 ? max : 1;
 }
 
+/* Calls a second that the cold upstream bears by its service's rules; 0 when they do not tell. */
+static double
+cold_per_s (const PhWorld *world)
+{
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, world->admission.upstream);
+  const PhService *service
+      = upstream != NULL ? ph_service_get (&world->services, upstream->service) : NULL;
+
+  return service != NULL ? service->rules.cold_per_s : 0;
+}
+
+/* The upstream may be cold: keeps to the rate until it says that it is not. */
+static void
+assume_cold (PhContext *ctx, PhWorld *world)
+{
+  PhAdmission *admission = &world->admission;
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, admission->upstream);
+  const PhService *service = ph_service_get (&world->services, upstream->service);
+
+  admission->cold.is_cold = false;
+  ph_cold_rate_begin (&admission->cold_rate, ctx->now, ctx->now + service->rules.cold_time);
+  ph_probe_want (ctx, world);
+}
+
+void
+ph_admission_cold_told (PhContext *ctx, PhWorld *world, PhTime left)
+{
+  PhAdmission *admission = &world->admission;
+
+  if (left > 0 && !ph_cold_rate_is_cold (&admission->cold_rate, ctx->now))
+    ph_log (ctx, PH_LOG_INFO, PH_STEP_ADMIT, NULL, "the local upstream is cold for %lld ms",
+            (long long)(left / PH_MS));
+  ph_cold_rate_begin (&admission->cold_rate, ctx->now, ctx->now + left);
+  admission->is_marked = true;
+}
+
 void
 ph_admission_begin_cold (PhContext *ctx, PhWorld *world, bool is_announced)
 {
@@ -74,6 +110,11 @@
   const PhUpstream *upstream = ph_upstream_get (&world->upstreams, admission->upstream);
   const PhVersionRule *rule = upstream != NULL ? rule_of (world, upstream) : NULL;
 
+  if (cold_per_s (world) > 0)
+    {
+      assume_cold (ctx, world);
+      return;
+    }
   ph_cold_begin (&admission->cold, ctx->now, is_announced, admission->limit.max);
   if (rule != NULL && rule->cold_start_s > 0)
     ph_cold_set_ramp (&admission->cold, rule->cold_start_s * PH_SECOND, admission->limit.max);
@@ -140,6 +181,8 @@
     return PH_REASON_DRAINING;
   if (dc != NULL && dc->is_out)
     return PH_REASON_DATA_CENTRE_OUT;
+  if (!ph_registration_is_open (world))
+    return PH_REASON_STALE_UPSTREAM;
   return ph_probe_is_down (ctx, world) ? PH_REASON_CONNECT : PH_REASON_NONE;
 }
 
@@ -151,7 +194,11 @@
   uint32_t limit = ph_admission_limit (ctx, world);
   uint32_t free_slots = limit > admission->in_flight ? limit - admission->in_flight : 0;
   double pause = limit == 0 ? (double)(admission->cold.paused_until - ctx->now) : 0;
+  double per_s = cold_per_s (world);
 
+  if (per_s > 0 && ph_cold_rate_is_cold (&admission->cold_rate, ctx->now))
+    return (double)(ph_cold_rate_next (&admission->cold_rate, ctx->now, per_s) - ctx->now)
+           + rank / per_s * PH_SECOND;
   return rank < free_slots ? 0
                            : pause
                                  + (rank + 1 - free_slots)
@@ -365,7 +412,7 @@
   const PhAdmission *admission = &world->admission;
 
   return (PhLoad){ admission->in_flight, admission->queued, (uint32_t)level_of (admission),
-                   (uint32_t)ph_limit_success_time (&admission->limit) };
+                   (uint32_t)ph_limit_success_time (&admission->limit), admission->slowness };
 }
 
 /* Takes over what changed in the announcement and in the state of the data centre. */
@@ -382,6 +429,9 @@
   admission->was_out = is_out;
   if (upstream == NULL)
     return;
+  /* The rules came after the announcement. */
+  if (admission->cold.is_cold && cold_per_s (world) > 0)
+    assume_cold (ctx, world);
   if (max_of (world, upstream) != admission->limit.max)
     ph_limit_set_max (&admission->limit, max_of (world, upstream));
   if (admission->cold.level > admission->limit.max)
@@ -441,9 +491,23 @@
   PhTime paused_until = world->admission.cold.paused_until;
   PhTime at = 1 + earlier (start_by_of (ctx, world, attempt), end_of_queue_time (world, attempt));
 
+  if (ph_cold_rate_is_cold (&world->admission.cold_rate, ctx->now) && cold_per_s (world) > 0)
+    at = earlier (at,
+                  ph_cold_rate_next (&world->admission.cold_rate, ctx->now, cold_per_s (world)));
   return paused_until > ctx->now ? earlier (at, paused_until) : at;
 }
 
+/* Whether the rate of a cold upstream allows a call now. */
+static bool
+take_cold_token (const PhContext *ctx, PhWorld *world)
+{
+  PhColdRate *rate = &world->admission.cold_rate;
+  double per_s = cold_per_s (world);
+
+  return per_s <= 0 || !ph_cold_rate_is_cold (rate, ctx->now)
+         || ph_cold_rate_take (rate, ctx->now, per_s);
+}
+
 void
 ph_admission_system (PhContext *ctx, PhWorld *world)
 {
@@ -463,7 +527,8 @@
 
       if (reason != PH_REASON_NONE)
         ph_attempt_fail (ctx, world, id, PH_RUN_NO, reason);
-      else if (admission->in_flight < ph_admission_limit (ctx, world))
+      else if (admission->in_flight < ph_admission_limit (ctx, world)
+               && take_cold_token (ctx, world))
         start_queued (ctx, world, id, attempt);
       else
         {
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -15,6 +15,11 @@
 
 #define ATTEMPTS_OPEN_MAX 2
 
+/* A refused caller is asked back within this part of the time that it has left: callers honour a
+ * third of it at most. */
+#define RETRY_AFTER_PART 4
+#define RETRY_AFTER_MAX (400 * PH_MS)
+
 /* What the reason of a failed attempt says about another attempt. */
 typedef enum
 {
@@ -53,6 +58,9 @@
   [PH_REASON_CALLER_LIMIT] = { "caller-limit", 429, AFTER_FINAL },
   [PH_REASON_TABLE_FULL] = { "table-full", 503, AFTER_BUSY },
   [PH_REASON_CALLER_LEFT] = { "caller-left", 400, AFTER_FINAL },
+  [PH_REASON_NO_CONFIGURATION] = { "no-configuration", 503, AFTER_FINAL },
+  [PH_REASON_OBJECTIVE] = { "objective", 503, AFTER_BUSY },
+  [PH_REASON_COLD] = { "cold", 503, AFTER_BUSY },
 };
 
 static const char *const run_names[] = { "no", "yes", "unknown" };
@@ -174,14 +182,15 @@
 refuse_open (PhContext *ctx, PhRefusal *refusal, PhReason reason)
 {
   ph_count_refusal (ctx, reason);
-  *refusal = (PhRefusal){ ph_reason_status (reason), PH_RUN_NO, reason };
+  *refusal = (PhRefusal){ .status = ph_reason_status (reason), .run = PH_RUN_NO, .reason = reason };
   return (PhCallId){ 0 };
 }
 
 PhCallId
 ph_call_open (PhContext *ctx, PhWorld *world, const PhCallOptions *opts, PhRefusal *refusal)
 {
-  PhServiceId service_id = ph_service_find (world, opts->service);
+  PhServiceId service_id
+      = opts->service_id.v != 0 ? opts->service_id : ph_service_find (world, opts->service);
   PhService *service = ph_service_get (&world->services, service_id);
   PhReason reason = check_open (world, opts, service_id);
   PhTime time_left = opts->time_left;
@@ -206,6 +215,12 @@
   call->is_rerun = opts->is_rerun;
   call->depth = (uint8_t)opts->depth;
   call->route = (uint8_t)opts->route;
+  call->is_bulk = opts->is_bulk;
+  call->priority = (uint8_t)opts->priority;
+  call->attempts_max
+      = (uint8_t)(opts->attempts_max > 0 && opts->attempts_max < PH_TRIED_MAX ? opts->attempts_max
+                                                                              : PH_TRIED_MAX);
+  call->objective_at = opts->objective > 0 ? ctx->now + opts->objective : PH_TIME_NEVER;
   call->opened_at = ctx->now;
   call->deadline = ctx->now + time_left;
   call->user = opts->user;
@@ -238,7 +253,10 @@
   if (attempt->is_slot_held)
     ph_admission_release (ctx, world, id, outcome);
   if (run != PH_RUN_NO)
-    call->maybe_run_count++;
+    {
+      call->maybe_run_count++;
+      call->arrivals++;
+    }
   call->open_attempts--;
   ph_attempt_remove (&world->attempts, id);
 }
@@ -285,15 +303,31 @@
   cancel_attempt (ctx, world, id);
 }
 
+/* When a refused caller is to come back: spread over an interval, so that those refused together
+ * do not return as one wave, and soon enough that the call can still be of use. */
+static PhTime
+retry_after (PhContext *ctx, const PhCall *call, PhReason reason)
+{
+  PhTime left = ph_call_time_left (ctx, call);
+  PhTime longest = left / RETRY_AFTER_PART;
+
+  if (call->run != PH_RUN_NO || reasons[reason].after == AFTER_FINAL)
+    return 0;
+  if (longest > RETRY_AFTER_MAX)
+    longest = RETRY_AFTER_MAX;
+  return longest / 2 + ph_random_below (&ctx->random, (uint32_t)(longest / 2 + 1));
+}
+
 static void
 refuse_call (PhContext *ctx, PhWorld *world, PhCallId id, PhReason reason)
 {
   PhCall *call = ph_call_get (&world->calls, id);
-  PhRefusal refusal = { ph_reason_status (reason), call->run, reason };
+  PhRefusal refusal = { .status = ph_reason_status (reason), .run = call->run, .reason = reason };
 
   PH_INVARIANT (call->open_attempts == 0);
   PH_INVARIANT (call->run != PH_RUN_NO || call->maybe_run_count == 0);
   ph_trace_refused (ctx, world, call, reason);
+  refusal.retry_after = retry_after (ctx, call, reason);
   world->effects.refuse_call (world->effects.user, id, &refusal);
   ph_call_remove (&world->calls, id);
 }
@@ -379,6 +413,8 @@
     ph_choice_failed (ctx, world, attempt->upstream);
   ph_trace_failed (ctx, world, attempt, reason);
   close_attempt (ctx, world, id, run, ph_admission_outcome (run, reason));
+  if (run == PH_RUN_NO && reason == PH_REASON_SHED)
+    call->arrivals++;
   if (run > call->run)
     call->run = run;
   call->reason = reason;
@@ -439,7 +475,8 @@
 static bool
 may_resend (const PhCall *call)
 {
-  return call->pinned.v == 0 && call->can_resend && call->tried_count < PH_TRIED_MAX;
+  return call->pinned.v == 0 && call->can_resend && call->tried_count < PH_TRIED_MAX
+         && call->arrivals + call->open_attempts < call->attempts_max;
 }
 
 /* Whether another attempt is allowed after the earlier ones failed. Takes it from the budget. */
--- a/source/core/cold.c
+++ b/source/core/cold.c
@@ -160,3 +160,52 @@
   else if (sample->outcome != PH_OUTCOME_UNKNOWN)
     note_failure (cold, sample, max);
 }
+
+/* Calls that may follow each other at once; the bound allows half of the rate and a few more. */
+#define BURST 2.0
+
+void
+ph_cold_rate_begin (PhColdRate *rate, PhTime now, PhTime until)
+{
+  if (!ph_cold_rate_is_cold (rate, now))
+    {
+      /* Calls of the second before were not counted, so there is no burst at once. */
+      rate->tokens = 1;
+      rate->at = now;
+    }
+  rate->until = until;
+}
+
+bool
+ph_cold_rate_is_cold (const PhColdRate *rate, PhTime now)
+{
+  return now < rate->until;
+}
+
+static double
+tokens_at (const PhColdRate *rate, PhTime now, double per_s)
+{
+  double tokens = rate->tokens + (double)(now - rate->at) / PH_SECOND * per_s;
+
+  return tokens < BURST ? tokens : BURST;
+}
+
+bool
+ph_cold_rate_take (PhColdRate *rate, PhTime now, double per_s)
+{
+  double tokens = tokens_at (rate, now, per_s);
+
+  if (tokens < 1)
+    return false;
+  rate->tokens = tokens - 1;
+  rate->at = now;
+  return true;
+}
+
+PhTime
+ph_cold_rate_next (const PhColdRate *rate, PhTime now, double per_s)
+{
+  double missing = 1 - tokens_at (rate, now, per_s);
+
+  return missing <= 0 ? now : now + 1 + (PhTime)(missing / per_s * PH_SECOND);
+}
--- a/source/core/config.c
+++ b/source/core/config.c
@@ -153,9 +153,24 @@
   ph_choice_data_centre_changed (ctx, world, dc_id);
 }
 
+/* The object's routes are kept by the world from here on. */
+static void
+put_routes (PhContext *ctx, PhWorld *world, PhObject *object)
+{
+  PhError err;
+
+  /* A deployment without routes is a mistake of whoever deleted the object: the last ones hold. */
+  if (object->is_deleted || object->spec.routes == NULL)
+    return;
+  if (!ph_route_apply (ctx, world, object->spec.routes, &err))
+    ph_log_error (ctx, PH_LOG_ERROR, &err);
+  ph_route_set_drop (object->spec.routes);
+  object->spec.routes = NULL;
+}
+
 /* Puts what an object says, or no longer says, in force. The row holds it already. */
 static void
-put_in_force (PhContext *ctx, PhWorld *world, const PhObject *object)
+put_in_force (PhContext *ctx, PhWorld *world, PhObject *object)
 {
   switch (object->kind)
     {
@@ -174,6 +189,9 @@
     case PH_OBJECT_MOVE:
       ph_move_config_changed (ctx, world, object);
       break;
+    case PH_OBJECT_ROUTES:
+      put_routes (ctx, world, object);
+      break;
     case PH_OBJECT_KIND_COUNT:
       break;
     }
@@ -237,6 +255,16 @@
     ph_gossip_object (ctx, world, id);
 }
 
+/* The list that a path belongs to, or NULL. */
+static PhConfigList *
+find_list (PhWorld *world, const char *path)
+{
+  for (uint32_t i = 0; i < world->list_count; i++)
+    if (strncmp (path, world->lists[i].prefix, strlen (world->lists[i].prefix)) == 0)
+      return &world->lists[i];
+  return NULL;
+}
+
 bool
 ph_config_apply (PhContext *ctx,
                  PhWorld *world,
@@ -248,16 +276,18 @@
 {
   PhObjectId id = intern_object (world, path, err);
   PhObjectRow *row = ph_object_get (&world->objects, id);
+  const PhConfigList *list;
   PhObject object;
   PhError invalid = { 0 };
 
   if (row == NULL || revision <= row->revision)
     return false;
   /* The list of the store at a later revision did not hold this one, so it was deleted by then. */
-  if (revision <= world->listed_revision)
+  list = find_list (world, path);
+  if (list != NULL && revision <= list->revision)
     {
       text = NULL;
-      revision = world->listed_revision;
+      revision = list->revision;
     }
   if (!keep_text (row, text, size))
     return ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_CONFIG, NULL, "no memory for object %s",
@@ -297,27 +327,60 @@
 ph_config_listed (PhWorld *world, const char *path)
 {
   PhObjectRow *row = ph_config_find (world, path);
+  const PhConfigList *list = find_list (world, path);
 
   if (row != NULL)
-    row->listed = world->config_lists + 1;
+    row->listed = (list != NULL ? list->count : 0) + 1;
+}
+
+static PhConfigList *
+intern_list (PhWorld *world, const char *prefix)
+{
+  PhConfigList *list = find_list (world, prefix);
+
+  if (list != NULL)
+    return list;
+  PH_INVARIANT (world->list_count < PH_CONFIG_LISTS_MAX);
+  list = &world->lists[world->list_count++];
+  ph_text_copy (list->prefix, sizeof list->prefix, prefix);
+  return list;
+}
+
+/* Highest revision known here of the objects under a prefix. */
+static uint64_t
+highest_revision (const PhWorld *world, const char *prefix)
+{
+  PhObjectId id = { 0 };
+  uint64_t revision = 0;
+
+  while ((id = ph_object_next (&world->objects, id)).v != 0)
+    {
+      const PhObjectRow *row = ph_object_get (&world->objects, id);
+
+      if (row->revision > revision && strncmp (row->path, prefix, strlen (prefix)) == 0)
+        revision = row->revision;
+    }
+  return revision;
 }
 
 bool
-ph_config_list_end (PhContext *ctx, PhWorld *world, uint64_t revision)
+ph_config_list_end (PhContext *ctx, PhWorld *world, const char *prefix, uint64_t revision)
 {
+  PhConfigList *list = intern_list (world, prefix);
   PhObjectId id = { 0 };
 
-  world->config_lists++;
-  if (revision < world->config_revision)
+  list->count++;
+  if (revision < highest_revision (world, prefix))
     return false;
   while ((id = ph_object_next (&world->objects, id)).v != 0)
     {
       const PhObjectRow *row = ph_object_get (&world->objects, id);
 
-      if (!row->is_deleted && row->listed != world->config_lists)
+      if (!row->is_deleted && row->listed != list->count
+          && strncmp (row->path, prefix, strlen (prefix)) == 0)
         ph_config_apply (ctx, world, row->path, revision, NULL, 0, NULL);
     }
-  if (revision > world->listed_revision)
-    world->listed_revision = revision;
+  if (revision > list->revision)
+    list->revision = revision;
   return true;
 }
--- a/source/core/gossip.c
+++ b/source/core/gossip.c
@@ -24,7 +24,7 @@
 {
   uint32_t upstream = record->has_upstream
                           ? (uint32_t)(strlen (record->service) + strlen (record->version)
-                                       + (size_t)(2 * STRING_BYTES + 12))
+                                       + (size_t)(2 * STRING_BYTES + 20))
                           : 0;
 
   return FIXED_RECORD_BYTES + upstream
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -141,7 +141,7 @@
                              .version = record->version,
                              .state = record->upstream_state,
                              .member = id,
-                             .epoch = record->epoch,
+                             .epoch = record->upstream_epoch,
                              .slots = record->slots,
                              .connections = record->connections };
   PhError err;
@@ -224,10 +224,10 @@
   ph_log (ctx, PH_LOG_WARNING, PH_STEP_GOSSIP, record->name,
           "a process with this VM name had a later start time, or still runs");
   toggle_digest (world, self);
+  if (upstream != NULL && upstream->epoch == world->epoch)
+    upstream->epoch = self->record.upstream_epoch = record->epoch + 1;
   world->epoch = self->record.epoch = record->epoch + 1;
   toggle_digest (world, self);
-  if (upstream != NULL)
-    upstream->epoch = world->epoch;
   ph_gossip_member (ctx, world, ms->self);
   return true;
 }
@@ -309,6 +309,7 @@
 
       ph_text_copy (record->service, sizeof record->service, service->name);
       ph_text_copy (record->version, sizeof record->version, upstream->version);
+      record->upstream_epoch = upstream->epoch;
       record->upstream_state = upstream->state;
       record->slots = upstream->slots;
       record->connections = upstream->connections;
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -12,6 +12,8 @@
  * first. */
 #define VERDICT_GAP (2 * PH_SECOND)
 
+#define VERDICT_GAP_SHORT (300 * PH_MS)
+
 #define LOOK (100 * PH_MS)
 
 /* Slow calls of one node and route within this time have one cause. */
@@ -77,6 +79,14 @@
   return id;
 }
 
+/* Time between the end of a move and its report. A move with a duration is to be reported within
+ * it. */
+static PhTime
+verdict_gap (const PhMove *move)
+{
+  return move->spec.duration != 0 ? VERDICT_GAP_SHORT : VERDICT_GAP;
+}
+
 /* Starts a move anew at a revision. */
 static void
 reset_move (const PhContext *ctx, PhWorld *world, PhMoveId id, uint64_t revision)
@@ -118,18 +128,72 @@
   return revision == move->revision ? move : NULL;
 }
 
+/* Whether two revisions of an object order the same move: only what is reported of it differs. */
+static bool
+is_same_order (const PhMoveSpec *a, const PhMoveSpec *b)
+{
+  return a->duration != 0 && a->duration == b->duration && strcmp (a->service, b->service) == 0
+         && strcmp (a->to, b->to) == 0 && a->created_revision == b->created_revision;
+}
+
+/* The revision that stands for the order of a move. On a platform that reports in the object
+ * itself, its revision rises with each report. */
+static uint64_t
+order_revision (const PhWorld *world, const PhObject *object)
+{
+  const PhMoveSpec *spec = &object->spec.move;
+  const PhMove *known = ph_move_get (&world->moves, find_move (world, object->path));
+
+  if (spec->duration == 0 || object->is_deleted)
+    return object->revision;
+  if (known != NULL && known->has_object && is_same_order (&known->spec, spec))
+    return known->revision;
+  return spec->is_reported && spec->created_revision != 0
+                 && spec->created_revision < object->revision
+             ? spec->created_revision
+             : object->revision;
+}
+
+/* Takes over what the object itself says of how the move stands. */
+static void
+take_reported (PhContext *ctx, PhWorld *world, PhMoveId id)
+{
+  PhMove *move = ph_move_get (&world->moves, id);
+  PhMoveFlag flag = ph_move_flag (move);
+
+  if (!move->spec.is_reported)
+    return;
+  move->is_open_written = true;
+  if (move->spec.reported == PH_MOVE_OPEN)
+    return;
+  move->is_written = true;
+  if (move->spec.reported == PH_MOVE_DONE)
+    flag.stage = PH_MOVE_STAGES;
+  else
+    {
+      flag.is_bad = true;
+      flag.reason = move->is_bad ? move->reason : PH_MOVE_REASON_DEADLINE;
+    }
+  ph_move_merge (ctx, world, &flag);
+}
+
 void
 ph_move_config_changed (PhContext *ctx, PhWorld *world, const PhObject *object)
 {
   PhMoveId id;
-  PhMove *move = intern_move (ctx, world, object->path, object->revision, &id);
+  PhMove *move = intern_move (ctx, world, object->path, order_revision (world, object), &id);
 
   if (move == NULL)
     return;
+  if (!move->has_object)
+    move->begun_at = ctx->now;
+  move->object_revision = object->revision;
   move->has_object = !object->is_deleted;
   move->spec = object->spec.move;
-  move->verdict_at = ctx->now + VERDICT_GAP;
+  move->verdict_at = ctx->now + verdict_gap (move);
   ph_timer_add (&world->timers, ctx->now, PH_TIMER_MOVE, id.v);
+  if (move->has_object)
+    take_reported (ctx, world, id);
 }
 
 PhMoveFlag
@@ -308,7 +372,22 @@
   if (service == NULL || !move->has_object || strcmp (service->name, move->spec.service) != 0)
     return false;
   *is_new = strcmp (own->version, move->spec.to) == 0;
-  return *is_new || strcmp (own->version, move->spec.from) == 0;
+  return *is_new || move->spec.from[0] == '\0' || strcmp (own->version, move->spec.from) == 0;
+}
+
+static bool
+has_started (const PhContext *ctx, const PhMove *move)
+{
+  return move->spec.duration != 0 || ctx->wall_us >= move->spec.start_us;
+}
+
+/* Whether the deadline has passed. A duration is measured on the monotonic clock: the wall clock of
+ * a VM may jump. */
+static bool
+is_late (const PhContext *ctx, const PhMove *move)
+{
+  return move->spec.duration != 0 ? ctx->now >= move->begun_at + move->spec.duration
+                                  : ctx->wall_us >= move->spec.deadline_us;
 }
 
 static bool
@@ -316,7 +395,7 @@
 {
   PhMoveReason reason;
 
-  return move->has_object && !move->is_waiting && ctx->wall_us >= move->spec.start_us
+  return move->has_object && !move->is_waiting && has_started (ctx, move)
          && ph_move_outcome (ctx, move, &reason) == PH_MOVE_OPEN;
 }
 
@@ -402,7 +481,7 @@
   PhMoveOutcome outcome = ph_move_outcome (ctx, move, &reason);
 
   if (!move->has_object || move->is_waiting || outcome == PH_MOVE_TAKEN_BACK
-      || ctx->wall_us < move->spec.start_us)
+      || !has_started (ctx, move))
     return 0;
   return outcome == PH_MOVE_DONE ? 1 : shares[move->stage];
 }
@@ -417,7 +496,7 @@
     return PH_MOVE_DONE;
   else if (move->spec.is_cancelled)
     *reason = PH_MOVE_REASON_CANCELLED;
-  else if (ctx->wall_us >= move->spec.deadline_us)
+  else if (is_late (ctx, move))
     *reason = PH_MOVE_REASON_DEADLINE;
   return *reason == PH_MOVE_REASON_NONE ? PH_MOVE_OPEN : PH_MOVE_TAKEN_BACK;
 }
@@ -495,7 +574,10 @@
 static PhTime
 stage_time (const PhMove *move)
 {
-  return (move->spec.deadline_us - move->spec.start_us) / STAGE_PARTS;
+  PhTime whole = move->spec.duration != 0 ? move->spec.duration
+                                          : move->spec.deadline_us - move->spec.start_us;
+
+  return whole / STAGE_PARTS;
 }
 
 /* Beside an upstream of the new version: decides on the flag and on the next stage. */
@@ -596,7 +678,7 @@
       if (move != NULL)
         move->is_waiting = true;
     }
-  if (running != NULL && ctx->wall_us >= running->spec.start_us)
+  if (running != NULL && has_started (ctx, running))
     ph_choice_set_move (ctx, world, id, running->spec.to, ph_move_share (ctx, running));
   else if (done != NULL)
     ph_choice_set_move (ctx, world, id, done->spec.to, 1);
@@ -624,7 +706,7 @@
     }
   set_share (ctx, world, move->spec.service);
   if (ph_move_outcome (ctx, move, &reason) == PH_MOVE_OPEN)
-    move->verdict_at = ctx->now + VERDICT_GAP;
+    move->verdict_at = ctx->now + verdict_gap (move);
   /* One entry at a time, however often this was called. */
   if (move->has_object && ctx->now >= move->looked_at + LOOK)
     {
@@ -649,7 +731,7 @@
     snprintf (text, PH_MOVE_TEXT_MAX, "taken back: %s", reason_names[reason]);
   else if (move->is_waiting)
     snprintf (text, PH_MOVE_TEXT_MAX, "waits for an earlier move of %s", move->spec.service);
-  else if (ctx->wall_us < move->spec.start_us)
+  else if (!has_started (ctx, move))
     snprintf (text, PH_MOVE_TEXT_MAX, "waits for its start");
   else if (left > 0)
     snprintf (text, PH_MOVE_TEXT_MAX, "stage %u of %d, %g%% of the calls: next in %lld s or later",
--- a/source/core/probe.c
+++ b/source/core/probe.c
@@ -12,6 +12,12 @@
 /* One failed probe may be a lost packet or a lagging health endpoint, so the second one decides. */
 #define FAILURES_DOWN 2
 
+/* Other nodes that are taken to probe a service before its members were counted. A check that is
+ * wanted is sent when the budget bears one a second of each of them. */
+#define OTHERS_UNCOUNTED 31
+#define WANTED_PER_MINUTE 60
+#define WANTED_DELAY (5 * PH_MS) /* for the announcement that follows a heartbeat */
+
 #define DOWN_TIME (5 * PH_SECOND)
 #define DOWN_DOUBLINGS_MAX 3
 
@@ -197,13 +203,32 @@
   return count_in_window (probe, ctx->now) < share;
 }
 
+/* Whether the budget bears a check that is wanted, also while the members are not counted. */
+static bool
+is_wanted_allowed (const PhContext *ctx, const PhWorld *world)
+{
+  const PhProbe *probe = &world->probe;
+  const PhService *service = ph_service_get (&world->services, probe->service);
+  uint32_t others
+      = probe->others_max[0] > probe->others_max[1] ? probe->others_max[0] : probe->others_max[1];
+
+  if (service == NULL || !service->is_configured)
+    return false;
+  if (others < OTHERS_UNCOUNTED)
+    others = OTHERS_UNCOUNTED;
+  if (service->rules.probes_per_minute / (1 + others) < WANTED_PER_MINUTE)
+    return false;
+  return probe->sent_count == 0 || ctx->now - sent_before (probe, 1) >= PH_PROBE_PERIOD;
+}
+
 static void
 send_probe (PhContext *ctx, PhWorld *world)
 {
   PhProbe *probe = &world->probe;
 
   probe->sent_at[probe->sent_count++ % PH_PROBE_SHARE_MAX] = ctx->now;
-  PH_INVARIANT (count_in_window (probe, ctx->now) <= ph_probe_share (world));
+  PH_INVARIANT (probe->is_wanted || count_in_window (probe, ctx->now) <= ph_probe_share (world));
+  probe->is_wanted = false;
   probe->open = world->admission.upstream;
   probe->open_generation = world->admission.generation;
   world->admission.in_flight++; /* the probe uses a slot of the upstream */
@@ -219,14 +244,22 @@
   PhProbe *probe = &world->probe;
   const PhUpstream *upstream = local_upstream (world);
 
-  (void)handle;
-  ph_timer_add (&world->timers, ctx->now + PH_PROBE_PERIOD, PH_TIMER_UPSTREAM_PROBE, 0);
+  /* A look out of turn, for a check that is wanted, does not move the schedule. */
+  if (handle == 0)
+    ph_timer_add (&world->timers, ctx->now + PH_PROBE_PERIOD, PH_TIMER_UPSTREAM_PROBE, 0);
   world->admission.is_marked = true; /* it follows the state of the data centre */
   watch_members (ctx, world, upstream);
   if (probe->open.v != 0 && ctx->now - sent_before (probe, 1) >= PH_PROBE_TIMEOUT)
     ph_probe_result (ctx, world, probe->open, false, PH_PROBE_TIMEOUT);
-  if (upstream == NULL || probe->open.v != 0 || world->effects.send_probe == NULL
-      || !is_useful (ctx, world, upstream))
+  if (upstream == NULL || probe->open.v != 0 || world->effects.send_probe == NULL)
+    return;
+  if (probe->is_wanted && is_wanted_allowed (ctx, world)
+      && world->admission.in_flight < ph_admission_limit (ctx, world))
+    {
+      send_probe (ctx, world);
+      return;
+    }
+  if (!is_useful (ctx, world, upstream))
     return;
   if (is_allowed (ctx, world, upstream))
     send_probe (ctx, world);
@@ -234,6 +267,13 @@
     ph_count (ctx, PH_COUNT_PROBES_DENIED, 1);
 }
 
+void
+ph_probe_want (PhContext *ctx, PhWorld *world)
+{
+  world->probe.is_wanted = true;
+  ph_timer_add (&world->timers, ctx->now + WANTED_DELAY, PH_TIMER_UPSTREAM_PROBE, 1);
+}
+
 static void
 mark_down (PhContext *ctx, PhWorld *world)
 {
--- /dev/null
+++ b/source/core/registration.c
@@ -0,0 +1,163 @@
+#include "pollenhitch/registration.h"
+
+#include <string.h>
+
+#include "pollenhitch/trace.h"
+#include "pollenhitch/world.h"
+
+/* Heartbeats of one start after which it is believed without a health check: a health check that
+ * lies must not keep a good upstream out. */
+#define HEARTBEATS_CONFIRM 3
+
+static bool
+has_left (const PhRegistration *reg, const char *instance, uint64_t born_ms)
+{
+  uint32_t count
+      = reg->left_count < PH_REGISTRATION_LEFT_MAX ? reg->left_count : PH_REGISTRATION_LEFT_MAX;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (reg->left[i].instance, instance) == 0 && born_ms <= reg->left[i].born_ms)
+      return true;
+  return false;
+}
+
+static void
+note_left (PhRegistration *reg, const char *instance, uint64_t born_ms)
+{
+  PhLeft *left = &reg->left[reg->left_count % PH_REGISTRATION_LEFT_MAX];
+
+  if (has_left (reg, instance, born_ms))
+    return;
+  ph_text_copy (left->instance, sizeof left->instance, instance);
+  left->born_ms = born_ms;
+  reg->left_count++;
+}
+
+static bool
+is_same_start (const PhRegistration *reg, const PhHeartbeat *heartbeat)
+{
+  return reg->heartbeats > 0 && heartbeat->born_ms == reg->born_ms
+         && strcmp (heartbeat->instance, reg->instance) == 0;
+}
+
+static bool
+is_stale (const PhRegistration *reg, const PhHeartbeat *heartbeat)
+{
+  if (has_left (reg, heartbeat->instance, heartbeat->born_ms))
+    return true;
+  if (is_same_start (reg, heartbeat))
+    return heartbeat->sequence <= reg->sequence;
+  return reg->heartbeats > 0 && heartbeat->born_ms < reg->born_ms;
+}
+
+/* Takes over a start of the upstream that was not known before. */
+static void
+begin_start (PhContext *ctx, PhWorld *world, const PhHeartbeat *heartbeat)
+{
+  PhRegistration *reg = &world->registration;
+  bool is_first = reg->heartbeats == 0;
+
+  ph_text_copy (reg->instance, sizeof reg->instance, heartbeat->instance);
+  reg->born_ms = heartbeat->born_ms;
+  reg->heartbeats = 0;
+  reg->is_draining = false;
+  /* The start before this one was seen to register here: what is new began after it. */
+  reg->is_confirmed = !is_first;
+  if (is_first)
+    ph_probe_want (ctx, world);
+  ph_log (ctx, PH_LOG_INFO, PH_STEP_ANNOUNCE, heartbeat->instance,
+          "the local upstream registers: service %s, version %s, %u slots, cold for %lld ms",
+          heartbeat->service, heartbeat->version, heartbeat->slots,
+          (long long)(heartbeat->cold_left / PH_MS));
+}
+
+static bool
+announce (PhContext *ctx, PhWorld *world, const PhHeartbeat *heartbeat, PhError *err)
+{
+  const PhRegistration *reg = &world->registration;
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, heartbeat->service));
+  uint32_t connections = service != NULL ? service->rules.connections_max : 0;
+  PhUpstreamOptions opts
+      = { .service = heartbeat->service,
+          .version = heartbeat->version,
+          .state = reg->is_draining ? PH_UPSTREAM_DRAINING : PH_UPSTREAM_READY,
+          .epoch = ph_hash_mix (ph_hash (heartbeat->instance), heartbeat->born_ms) | 1,
+          .instance = heartbeat->instance,
+          .port = heartbeat->port,
+          .slots = heartbeat->slots,
+          .connections = connections };
+
+  if (!ph_upstream_announce (ctx, world, &opts, err))
+    return false;
+  ph_admission_cold_told (ctx, world, heartbeat->cold_left);
+  return true;
+}
+
+PhHeartbeatResult
+ph_registration_heartbeat (PhContext *ctx,
+                           PhWorld *world,
+                           const PhHeartbeat *heartbeat,
+                           PhError *err)
+{
+  PhRegistration *reg = &world->registration;
+
+  if (reg->service[0] != '\0' && strcmp (reg->service, heartbeat->service) != 0)
+    {
+      ph_error_set (err, PH_ERROR_INVALID, PH_STEP_ANNOUNCE, heartbeat->instance,
+                    "service %s is not the one beside this node, %s", heartbeat->service,
+                    reg->service);
+      return PH_HEARTBEAT_FOREIGN;
+    }
+  if (is_stale (reg, heartbeat))
+    return PH_HEARTBEAT_STALE;
+  if (!is_same_start (reg, heartbeat))
+    begin_start (ctx, world, heartbeat);
+  reg->sequence = heartbeat->sequence;
+  reg->heartbeats++;
+  if (reg->heartbeats >= HEARTBEATS_CONFIRM)
+    reg->is_confirmed = true;
+  if (heartbeat->is_draining && !reg->is_draining)
+    ph_log (ctx, PH_LOG_INFO, PH_STEP_ANNOUNCE, heartbeat->instance,
+            "the local upstream is draining: no new calls");
+  /* A start that once said that it drains goes on draining, whatever comes later. */
+  reg->is_draining = reg->is_draining || heartbeat->is_draining;
+  return announce (ctx, world, heartbeat, err) ? PH_HEARTBEAT_TAKEN : PH_HEARTBEAT_FOREIGN;
+}
+
+void
+ph_registration_leave (PhContext *ctx, PhWorld *world, const char *instance)
+{
+  PhRegistration *reg = &world->registration;
+  bool is_current = reg->heartbeats > 0 && strcmp (reg->instance, instance) == 0;
+
+  note_left (reg, instance, is_current ? reg->born_ms : (uint64_t)(ctx->wall_us / PH_MS));
+  if (!is_current)
+    return;
+  ph_log (ctx, PH_LOG_INFO, PH_STEP_ANNOUNCE, instance, "the local upstream leaves: no new calls");
+  reg->is_draining = true;
+  ph_upstream_withdraw (ctx, world);
+}
+
+void
+ph_registration_health (PhContext *ctx, PhWorld *world, const PhHealth *health)
+{
+  PhRegistration *reg = &world->registration;
+
+  if (health->is_healthy && health->instance != NULL
+      && strcmp (health->instance, reg->instance) == 0 && !reg->is_confirmed)
+    {
+      reg->is_confirmed = true;
+      world->admission.is_marked = true;
+    }
+  if (health->is_healthy && health->cold_left >= 0)
+    ph_admission_cold_told (ctx, world, health->cold_left);
+}
+
+bool
+ph_registration_is_open (const PhWorld *world)
+{
+  const PhRegistration *reg = &world->registration;
+
+  return reg->heartbeats == 0 || reg->is_confirmed;
+}
--- a/source/core/upstream.c
+++ b/source/core/upstream.c
@@ -167,6 +167,8 @@
   upstream->data_centre = opts->data_centre;
   upstream->state = opts->state;
   upstream->is_local = opts->is_local;
+  ph_text_copy (upstream->instance, sizeof upstream->instance,
+                opts->instance != NULL ? opts->instance : "");
   upstream->epoch = opts->epoch;
   upstream->port = opts->port;
   upstream->slots = opts->slots;
@@ -241,12 +243,12 @@
 
   own.member = (PhMemberId){ 0 };
   own.is_local = true;
-  own.epoch = world->epoch;
+  own.epoch = opts->epoch != 0 ? opts->epoch : world->epoch;
   own.data_centre = world->data_centre;
   id = ph_upstream_put (ctx, world, admission->upstream, &own, err);
   if (id.v == 0)
     return false;
-  admission->announced_until = ctx->now + PH_ANNOUNCE_TTL;
+  admission->announced_until = ctx->now + world->announce_ttl;
   ph_timer_add (&world->timers, admission->announced_until, PH_TIMER_ANNOUNCE, id.v);
   if (id.v != admission->upstream.v
       || (own.state == PH_UPSTREAM_COLD && old_state != PH_UPSTREAM_COLD))
@@ -264,19 +266,27 @@
 }
 
 void
-ph_upstream_announce_timer (PhContext *ctx, PhWorld *world, uint32_t handle)
+ph_upstream_withdraw (PhContext *ctx, PhWorld *world)
 {
   PhAdmission *admission = &world->admission;
 
-  if (admission->upstream.v != handle || ctx->now < admission->announced_until)
-    return;
-  ph_log (ctx, PH_LOG_WARNING, PH_STEP_ANNOUNCE, NULL, "the local upstream stopped announcing");
   ph_upstream_drop (ctx, world, admission->upstream);
   admission->upstream = (PhUpstreamId){ 0 };
   ph_admission_reset (ctx, world);
   ph_member_self_changed (ctx, world);
 }
 
+void
+ph_upstream_announce_timer (PhContext *ctx, PhWorld *world, uint32_t handle)
+{
+  PhAdmission *admission = &world->admission;
+
+  if (admission->upstream.v != handle || ctx->now < admission->announced_until)
+    return;
+  ph_log (ctx, PH_LOG_WARNING, PH_STEP_ANNOUNCE, NULL, "the local upstream stopped announcing");
+  ph_upstream_withdraw (ctx, world);
+}
+
 void
 ph_upstream_report (PhContext *ctx, PhWorld *world, PhUpstreamId id, const PhLoad *load)
 {
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -54,6 +54,7 @@
   uint32_t upstreams = or_default (opts->upstreams, PH_UPSTREAMS_DEFAULT);
   uint32_t services = or_default (opts->services, PH_SERVICES_DEFAULT);
   uint32_t objects = or_default (opts->objects, PH_OBJECTS_DEFAULT);
+  uint32_t routes = or_default (opts->routes, PH_ROUTES_DEFAULT);
   const TableSize sizes[] = {
     { &world->data_centres, sizeof (PhDataCentre), DATA_CENTRES_MAX },
     { &world->services, sizeof (PhService), services },
@@ -64,6 +65,7 @@
     { &world->objects, sizeof (PhObjectRow), objects },
     { &world->moves, sizeof (PhMove), PH_MOVES_MAX },
     { &world->evidence, sizeof (PhEvidence), EVIDENCE_MAX },
+    { &world->routes, sizeof (PhRoute), routes },
   };
 
   for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
@@ -72,7 +74,8 @@
   return ph_queue_init (&world->marked_calls, calls, err)
          && ph_index_init (&world->service_index, services, err)
          && ph_index_init (&world->member_index, upstreams, err)
-         && ph_index_init (&world->object_index, objects, err);
+         && ph_index_init (&world->object_index, objects, err)
+         && ph_index_init (&world->route_index, routes, err);
 }
 
 static const char *
@@ -117,6 +120,9 @@
   world->choose = opts->choose != NULL ? opts->choose : ph_choose_two;
   world->choose_user = opts->choose_user;
   world->epoch = opts->epoch;
+  world->announce_ttl = opts->announce_ttl != 0 ? opts->announce_ttl : PH_ANNOUNCE_TTL;
+  ph_text_copy (world->registration.service, sizeof world->registration.service,
+                or_empty (opts->service));
   world->data_centre = ph_data_centre_intern (ctx, world, opts->data_centre, opts->region, err);
   if (world->data_centre.v == 0)
     goto fail;
@@ -163,9 +169,11 @@
   ph_table_clear (&world->objects);
   ph_table_clear (&world->moves);
   ph_table_clear (&world->evidence);
+  ph_table_clear (&world->routes);
   ph_index_clear (&world->service_index);
   ph_index_clear (&world->member_index);
   ph_index_clear (&world->object_index);
+  ph_index_clear (&world->route_index);
   ph_queue_clear (&world->marked_calls);
   ph_timer_clear (&world->timers);
   free (world);
--- a/source/node/admin.c
+++ b/source/node/admin.c
@@ -16,22 +16,11 @@
 
 typedef struct
 {
-  char bytes[BODY_MAX];
+  char bytes[BODY_MAX + 1];
   size_t size;
   bool is_too_large;
 } Body;
 
-typedef enum MHD_Result (*AdminFunc) (PhAdmin *admin,
-                                      struct MHD_Connection *connection,
-                                      const Body *body);
-
-typedef struct
-{
-  const char *method;
-  const char *path;
-  AdminFunc run;
-} Route;
-
 static enum MHD_Result
 respond_json (struct MHD_Connection *connection, int status, json_t *value)
 {
@@ -64,11 +53,11 @@
 }
 
 static bool
-announce (PhAdmin *admin, const Body *body, PhError *err)
+announce (const PhAdminRequest *request, PhError *err)
 {
-  PhNode *node = admin->node;
+  PhNode *node = request->node;
   json_error_t failure;
-  json_t *value = json_loadb (body->bytes, body->size, 0, &failure);
+  json_t *value = json_loadb (request->body, request->size, 0, &failure);
   PhUpstreamOptions opts = { 0 };
   const char *state;
   json_int_t port;
@@ -96,20 +85,19 @@
 }
 
 static enum MHD_Result
-put_upstream (PhAdmin *admin, struct MHD_Connection *connection, const Body *body)
+put_upstream (const PhAdminRequest *request)
 {
   PhError err;
 
-  if (announce (admin, body, &err))
-    return respond_json (connection, MHD_HTTP_OK, json_object ());
-  return respond_error (connection, MHD_HTTP_BAD_REQUEST, err.text);
+  if (announce (request, &err))
+    return respond_json (request->connection, MHD_HTTP_OK, json_object ());
+  return respond_error (request->connection, MHD_HTTP_BAD_REQUEST, err.text);
 }
 
 static enum MHD_Result
-get_status (PhAdmin *admin, struct MHD_Connection *connection, const Body *body)
+get_status (const PhAdminRequest *request)
 {
-  (void)body;
-  return respond_json (connection, MHD_HTTP_OK, ph_page_status (admin->node));
+  return respond_json (request->connection, MHD_HTTP_OK, ph_page_status (request->node));
 }
 
 static bool
@@ -121,40 +109,68 @@
 }
 
 static enum MHD_Result
-get_events (PhAdmin *admin, struct MHD_Connection *connection, const Body *body)
+get_events (const PhAdminRequest *request)
 {
   uint64_t after = 0;
   uint64_t limit = EVENTS_MAX;
 
-  (void)body;
-  if (!read_argument (connection, "after", INT64_MAX, &after)
-      || !read_argument (connection, "limit", EVENTS_MAX, &limit))
-    return respond_error (connection, MHD_HTTP_BAD_REQUEST,
+  if (!read_argument (request->connection, "after", INT64_MAX, &after)
+      || !read_argument (request->connection, "limit", EVENTS_MAX, &limit))
+    return respond_error (request->connection, MHD_HTTP_BAD_REQUEST,
                           "after and limit are numbers; limit is at most 1000");
-  return respond_json (connection, MHD_HTTP_OK,
-                       ph_page_events (admin->node, after, (uint32_t)limit));
+  return respond_json (request->connection, MHD_HTTP_OK,
+                       ph_page_events (request->node, after, (uint32_t)limit));
 }
 
 static enum MHD_Result
-get_metrics (PhAdmin *admin, struct MHD_Connection *connection, const Body *body)
+get_metrics (const PhAdminRequest *request)
 {
-  char *text = ph_page_metrics (admin->node);
+  char *text = ph_page_metrics (request->node);
   enum MHD_Result result = MHD_NO;
 
-  (void)body;
   if (text != NULL)
-    result = ph_listener_respond (connection, MHD_HTTP_OK, "text/plain; version=0.0.4", text,
-                                  strlen (text));
+    result = ph_listener_respond (request->connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
+                                  text, strlen (text));
   free (text);
   return result;
 }
 
-static const Route routes[] = {
-  { "PUT", "/v1/upstream", put_upstream },
-  { "GET", "/v1/status", get_status },
-  { "GET", "/v1/events", get_events },
-  { "GET", "/metrics", get_metrics },
-};
+enum MHD_Result
+ph_admin_ready (const PhAdminRequest *request)
+{
+  static const char ready[] = "ready\n";
+  static const char not_ready[] = "not ready\n";
+
+  if (ph_node_is_ready (request->node))
+    return ph_listener_respond (request->connection, MHD_HTTP_OK, "text/plain", ready,
+                                sizeof ready - 1);
+  return ph_listener_respond (request->connection, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain",
+                              not_ready, sizeof not_ready - 1);
+}
+
+void
+ph_admin_own (const PhNode *node, PhAdminOptions *opts)
+{
+  static const PhAdminRoute own[] = {
+    { "PUT", "/v1/upstream", put_upstream, NULL }, { "GET", "/v1/status", get_status, NULL },
+    { "GET", "/v1/events", get_events, NULL },     { "GET", "/v1/ready", ph_admin_ready, NULL },
+    { "GET", "/metrics", get_metrics, NULL },
+  };
+
+  *opts = (PhAdminOptions){ .address = node->settings.address,
+                            .port = (uint16_t)node->settings.port_admin,
+                            .routes = own,
+                            .route_count = sizeof own / sizeof *own };
+}
+
+static bool
+path_matches (const PhAdminRoute *route, const char *path)
+{
+  size_t size = strlen (route->path);
+
+  return route->path[size - 1] == '/' && size > 1 ? strncmp (path, route->path, size) == 0
+                                                  : strcmp (path, route->path) == 0;
+}
 
 static enum MHD_Result
 route (PhAdmin *admin,
@@ -163,17 +179,26 @@
        const char *path,
        const Body *body)
 {
+  PhAdminRequest request = { .node = admin->node,
+                             .connection = connection,
+                             .path = path,
+                             .body = body->bytes,
+                             .size = body->size };
   bool is_path_known = false;
 
   if (body->is_too_large)
     return respond_error (connection, MHD_HTTP_CONTENT_TOO_LARGE, "body is over 16384 bytes");
-  for (size_t i = 0; i < sizeof routes / sizeof *routes; i++)
+  ph_node_touch (admin->node);
+  for (uint32_t i = 0; i < admin->route_count; i++)
     {
-      if (strcmp (path, routes[i].path) != 0)
+      const PhAdminRoute *candidate = &admin->routes[i];
+
+      if (!path_matches (candidate, path))
         continue;
       is_path_known = true;
-      if (strcmp (method, routes[i].method) == 0)
-        return routes[i].run (admin, connection, body);
+      request.user = candidate->user;
+      if (strcmp (method, candidate->method) == 0)
+        return candidate->run (&request);
     }
   return is_path_known
              ? respond_error (connection, MHD_HTTP_METHOD_NOT_ALLOWED, "method is not allowed")
@@ -226,16 +251,16 @@
 }
 
 PhAdmin *
-ph_admin_new (PhNode *node, PhError *err)
+ph_admin_new (PhNode *node, const PhAdminOptions *opts, PhError *err)
 {
   PhAdmin *admin = calloc (1, sizeof *admin);
-  const PhListenerOptions opts = { .address = node->settings.address,
-                                   .port = (uint16_t)node->settings.port_admin,
-                                   .connections = CONNECTIONS_MAX,
-                                   .idle_seconds = IDLE_SECONDS,
-                                   .handler = on_request,
-                                   .completed = on_completed,
-                                   .user = admin };
+  const PhListenerOptions listener = { .address = opts->address,
+                                       .port = opts->port,
+                                       .connections = CONNECTIONS_MAX,
+                                       .idle_seconds = IDLE_SECONDS,
+                                       .handler = on_request,
+                                       .completed = on_completed,
+                                       .user = admin };
 
   if (admin == NULL)
     {
@@ -243,7 +268,9 @@
       return NULL;
     }
   admin->node = node;
-  if (ph_listener_start (&admin->listener, node, &opts, err))
+  admin->routes = opts->routes;
+  admin->route_count = opts->route_count;
+  if (ph_listener_start (&admin->listener, node, &listener, err))
     return admin;
   ph_admin_drop (admin);
   return NULL;
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "node/dialect.h"
 #include "node/request.h"
 #include "pollenhitch/fields.h"
 #include "pollenhitch/move.h"
@@ -111,6 +112,15 @@
   ph_attempt_fail (&node->ctx, node->world, attempt, run, reason);
 }
 
+/* What the head of a response says, whoever sent it. */
+typedef struct
+{
+  bool is_own;     /* it answers the request that was sent */
+  bool is_refusal; /* or it must not be passed on */
+  PhRun run;
+  PhReason reason;
+} PeerHead;
+
 static void
 take_reports (PhForward *forward)
 {
@@ -126,37 +136,37 @@
     ph_clock_merge (&node->ctx, clock);
 }
 
-/* Whether the response belongs to the call; an upstream need not send the id back. */
-static bool
-is_response_to (PhForward *forward)
+/* Reads the head of a response of another node. */
+static void
+read_peer_response (PhForward *forward, const PhExchange *exchange, PeerHead *head)
 {
-  PhDispatch *dispatch = forward->dispatch;
-  PhExchange *exchange = ph_exchange_get (&dispatch->exchanges, forward->exchange);
-  const char *text = ph_fetch_field (dispatch->node->fetch, forward->transfer, PH_FIELD_CALL);
+  PhFetch *fetch = forward->dispatch->node->fetch;
+  const char *id_text = ph_fetch_field (fetch, forward->transfer, PH_FIELD_CALL);
+  const char *run_text = ph_fetch_field (fetch, forward->transfer, PH_FIELD_RUN);
+  const char *reason_text = ph_fetch_field (fetch, forward->transfer, PH_FIELD_REASON);
   uint8_t id[PH_CALL_ID_SIZE];
 
-  if (text == NULL)
-    return forward->is_local;
-  return exchange != NULL && ph_call_id_parse (text, id)
-         && memcmp (id, exchange->call_id, sizeof id) == 0;
+  head->is_own = id_text != NULL && ph_call_id_parse (id_text, id)
+                 && memcmp (id, exchange->call_id, sizeof id) == 0;
+  head->is_refusal = run_text != NULL && reason_text != NULL && ph_run_parse (run_text, &head->run)
+                     && ph_reason_parse (reason_text, &head->reason);
 }
 
-/* Reads a refusal by the other node, or by the upstream itself when the forward is local. */
-static bool
-read_refusal (PhForward *forward, int status, PhRun *run, PhReason *reason)
+/* Reads the head of a response of the local upstream. */
+static void
+read_upstream_response (PhForward *forward, const PhExchange *exchange, int status, PeerHead *head)
 {
-  PhFetch *fetch = forward->dispatch->node->fetch;
-  const char *run_text = ph_fetch_field (fetch, forward->transfer, PH_FIELD_RUN);
-  const char *reason_text = ph_fetch_field (fetch, forward->transfer, PH_FIELD_REASON);
+  PhNode *node = forward->dispatch->node;
+  const PhDialect *dialect = node->dialect;
+  PhResponseHead own = { .is_own = true, .is_run = true };
 
-  if (run_text == NULL || !ph_run_parse (run_text, run))
-    return false;
-  if (forward->is_local)
-    {
-      *reason = PH_REASON_SHED;
-      return status == MHD_HTTP_SERVICE_UNAVAILABLE && *run == PH_RUN_NO;
-    }
-  return reason_text != NULL && ph_reason_parse (reason_text, reason);
+  dialect->read_response (dialect->user, node, exchange, forward->transfer, status, &own);
+  if (own.slowness != 0)
+    node->world->admission.slowness = own.slowness;
+  head->is_own = own.is_own;
+  head->is_refusal = !own.is_run || own.reject != PH_REASON_NONE;
+  head->run = own.is_run ? PH_RUN_YES : PH_RUN_NO;
+  head->reason = own.is_run ? own.reject : own.refusal;
 }
 
 /* Whether the end of the response body can be told from a cut (RFC 9112, 6.3). */
@@ -180,8 +190,7 @@
   PhNode *node = dispatch->node;
   PhExchange *exchange = ph_exchange_get (&dispatch->exchanges, forward->exchange);
   PhAttempt *attempt = ph_attempt_get (&node->world->attempts, forward->attempt);
-  PhRun run;
-  PhReason reason;
+  PeerHead head = { 0 };
 
   (void)id;
   if (exchange == NULL)
@@ -190,19 +199,24 @@
       return;
     }
   take_reports (forward);
-  if (!is_response_to (forward))
+  if (forward->is_local)
+    read_upstream_response (forward, exchange, status, &head);
+  else
+    read_peer_response (forward, exchange, &head);
+  if (!head.is_own)
     {
       ph_log (&node->ctx, PH_LOG_ERROR, PH_STEP_RESPONSE, NULL,
               "response carries the id of another call; connection closed");
       fail_forward (forward, PH_RUN_UNKNOWN, PH_REASON_MISMATCHED_RESPONSE);
       return;
     }
-  if (read_refusal (forward, status, &run, &reason))
+  if (head.is_refusal)
     {
-      fail_forward (forward, run, reason);
+      fail_forward (forward, head.run, head.reason);
       return;
     }
-  if (!is_framed (forward, exchange, status))
+  if (!(forward->is_local && node->dialect->passes_unframed)
+      && !is_framed (forward, exchange, status))
     {
       fail_forward (forward, PH_RUN_YES, PH_REASON_UNFRAMED_RESPONSE);
       return;
@@ -367,7 +381,8 @@
 refuse_now (PhExchange *exchange, PhReason reason)
 {
   exchange->is_refused = true;
-  exchange->refusal = (PhRefusal){ ph_reason_status (reason), PH_RUN_NO, reason };
+  exchange->refusal
+      = (PhRefusal){ .status = ph_reason_status (reason), .run = PH_RUN_NO, .reason = reason };
 }
 
 /* Takes over the clock of the node that sent the call. */
@@ -383,6 +398,24 @@
     ph_clock_merge (&exchange->dispatch->node->ctx, clock);
 }
 
+/* Why a request is refused before a call is opened, or PH_REASON_NONE with opts filled in. */
+static PhReason
+read_request (PhExchange *exchange, PhCallOptions *opts, char *service, uint8_t *id)
+{
+  PhNode *node = exchange->dispatch->node;
+  const PhDialect *dialect = node->dialect;
+
+  if (exchange->url == NULL || !ph_request_body_size (exchange->connection, &exchange->body_size))
+    return PH_REASON_BAD_REQUEST;
+  if (exchange->origin == PH_ORIGIN_CALLER)
+    return dialect->read_request (dialect->user, node, exchange->connection, exchange->method,
+                                  exchange->url, opts, service, id);
+  return ph_request_options (exchange->connection, exchange->origin, exchange->method, opts,
+                             service, id)
+             ? PH_REASON_NONE
+             : PH_REASON_BAD_REQUEST;
+}
+
 static void
 open_call (PhExchange *exchange)
 {
@@ -391,12 +424,12 @@
   PhRefusal refusal;
   char service[PH_NAME_MAX];
   uint8_t id[PH_CALL_ID_SIZE];
+  PhReason reason;
 
-  if (exchange->url == NULL || !ph_request_body_size (exchange->connection, &exchange->body_size)
-      || !ph_request_options (exchange->connection, exchange->origin, exchange->method, &opts,
-                              service, id))
+  reason = read_request (exchange, &opts, service, id);
+  if (reason != PH_REASON_NONE)
     {
-      refuse_now (exchange, PH_REASON_BAD_REQUEST);
+      refuse_now (exchange, reason);
       return;
     }
   if (opts.id != NULL)
@@ -522,8 +555,9 @@
     return;
   abort_call (exchange);
   exchange->is_refused = true;
-  exchange->refusal = (PhRefusal){ ph_reason_status (PH_REASON_CALLER_LEFT),
-                                   is_started ? PH_RUN_UNKNOWN : PH_RUN_NO, PH_REASON_CALLER_LEFT };
+  exchange->refusal = (PhRefusal){ .status = ph_reason_status (PH_REASON_CALLER_LEFT),
+                                   .run = is_started ? PH_RUN_UNKNOWN : PH_RUN_NO,
+                                   .reason = PH_REASON_CALLER_LEFT };
   mark (exchange);
 }
 
--- a/source/node/front.c
+++ b/source/node/front.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "node/dialect.h"
 #include "pollenhitch/fields.h"
 
 #define PEER_CONNECTIONS_MAX 16384
@@ -71,6 +72,7 @@
 add_own_fields (PhExchange *exchange, struct MHD_Response *response)
 {
   PhWorld *world = exchange->dispatch->node->world;
+  const PhDialect *dialect = exchange->dispatch->node->dialect;
   char id[PH_CALL_ID_TEXT];
   char text[PH_LOAD_TEXT];
   PhLoad load;
@@ -79,10 +81,14 @@
    * of them sends on one that is about to close. */
   if (world->is_stopping)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (exchange->origin != PH_ORIGIN_PEER)
+    {
+      if (dialect->add_response_fields != NULL)
+        dialect->add_response_fields (dialect->user, exchange, response);
+      return;
+    }
   ph_call_id_format (exchange->call_id, id);
   MHD_add_response_header (response, PH_FIELD_CALL, id);
-  if (exchange->origin != PH_ORIGIN_PEER)
-    return;
   snprintf (text, sizeof text, "%" PRIu64, ph_clock_now (&exchange->dispatch->node->ctx));
   MHD_add_response_header (response, PH_FIELD_CLOCK, text);
   load = ph_admission_load (world);
@@ -126,6 +132,8 @@
 respond_with_refusal (PhExchange *exchange)
 {
   const PhRefusal *refusal = &exchange->refusal;
+  const PhDialect *dialect
+      = exchange->origin == PH_ORIGIN_PEER ? ph_dialect_own () : exchange->dispatch->node->dialect;
   char text[128];
   int size = snprintf (text, sizeof text, "%s; request run: %s\n", ph_reason_name (refusal->reason),
                        ph_run_name (refusal->run));
@@ -136,10 +144,10 @@
   if (response == NULL)
     return MHD_NO;
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, "text/plain");
-  MHD_add_response_header (response, PH_FIELD_RUN, ph_run_name (refusal->run));
-  MHD_add_response_header (response, PH_FIELD_REASON, ph_reason_name (refusal->reason));
+  dialect->add_refusal_fields (dialect->user, refusal, response);
   add_own_fields (exchange, response);
-  result = MHD_queue_response (exchange->connection, (unsigned)refusal->status, response);
+  result = MHD_queue_response (
+      exchange->connection, (unsigned)dialect->refusal_status (dialect->user, refusal), response);
   MHD_destroy_response (response);
   return result;
 }
--- a/source/node/log.c
+++ b/source/node/log.c
@@ -58,6 +58,24 @@
   return -1;
 }
 
+bool
+ph_log_level_check (const char *level, PhError *err)
+{
+  return find_level (level) >= 0
+         || ph_error_set (
+             err, PH_ERROR_INVALID, PH_STEP_SETTINGS, NULL,
+             "--log-level: \"%.20s\" is not allowed; allowed: error, warning, info, debug", level);
+}
+
+void
+ph_log_set_level (const char *level)
+{
+  int index = find_level (level);
+
+  if (logger.category != NULL && index >= 0)
+    log4c_category_set_priority (logger.category, priorities[index]);
+}
+
 bool
 ph_log_start (const char *node, const char *level, PhError *err)
 {
@@ -65,10 +83,8 @@
   log4c_appender_t *appender;
   log4c_layout_t *layout;
 
-  if (index < 0)
-    return ph_error_set (
-        err, PH_ERROR_INVALID, PH_STEP_SETTINGS, NULL,
-        "--log-level: \"%.20s\" is not allowed; allowed: error, warning, info, debug", level);
+  if (!ph_log_level_check (level, err))
+    return false;
   snprintf (logger.node, sizeof logger.node, "%s", node);
   log4c_layout_type_set (&layout_type);
   log4c_appender_type_set (&appender_type);
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -8,10 +8,12 @@
 
 #include "node/admin.h"
 #include "node/control.h"
+#include "node/dialect.h"
 #include "node/dispatch.h"
 #include "node/fetch.h"
 #include "node/front.h"
 #include "node/probe.h"
+#include "node/reload.h"
 #include "node/store.h"
 #include "pollenhitch/command.h"
 #include "pollenhitch/log.h"
@@ -23,12 +25,11 @@
 /* Rounds of the systems in one tick; work that is left goes on in the next one, after I/O. */
 #define ROUNDS_MAX 8
 
-/* After a stop is announced, the node refuses calls as not run for this time before it stops
- * listening: other nodes have heard of it by then, and none of them sends on a connection that is
- * about to close. */
-#define STOP_GRACE 2.0
 #define STOP_POLL 0.1
 
+/* A node that is alone is ready after this time: others would have been heard of by then. */
+#define ALONE_TIME (3 * PH_SECOND)
+
 static const PhSetting settings_table[] = {
   { "name", PH_SETTING_TEXT, offsetof (PhNodeSettings, name), NULL, 1, PH_NAME_MAX - 1,
     "name of the VM" },
@@ -68,6 +69,16 @@
     "events kept for the timeline" },
   { "probe-path", PH_SETTING_TEXT, offsetof (PhNodeSettings, probe_path), "/", 1, 200,
     "path of the local upstream that a probe requests" },
+  /* Other nodes have heard of the stop by then, and none of them sends on a connection that is
+   * about to close. */
+  { "stop-grace-ms", PH_SETTING_NUMBER, offsetof (PhNodeSettings, stop_grace_ms), "2000", 100,
+    60000, "time for which a planned stop takes calls that still come" },
+  { "announce-ttl-ms", PH_SETTING_NUMBER, offsetof (PhNodeSettings, announce_ttl_ms), "3000", 100,
+    600000, "an upstream that says nothing for this long is gone" },
+  { "watch-gap-ms", PH_SETTING_NUMBER, offsetof (PhNodeSettings, watch_gap_ms), "0", 0, 60000,
+    "least time between two calls of a watch of the store" },
+  { "settings-file", PH_SETTING_TEXT, offsetof (PhNodeSettings, settings_file), "", 1, 400,
+    "file of NAME=VALUE lines, read at the start, on SIGHUP and when it changes" },
 };
 
 void
@@ -193,6 +204,7 @@
 start_world (PhNode *node, PhEffects *effects, PhError *err)
 {
   const PhNodeSettings *settings = &node->settings;
+  const PhAdapter *adapter = node->adapter;
   PhWorldOptions opts = { .name = settings->name,
                           .data_centre = settings->data_centre,
                           .region = settings->region,
@@ -201,10 +213,29 @@
                           .control_port = (uint16_t)settings->port_control,
                           .epoch = (uint64_t)node->ctx.wall_us,
                           .calls = (uint32_t)settings->calls,
-                          .decode = ph_object_decode };
+                          .announce_ttl = settings->announce_ttl_ms * PH_MS,
+                          .service = adapter->service,
+                          .decode = adapter->decode != NULL ? adapter->decode : ph_object_decode,
+                          .decode_user = adapter->decode_user };
 
   node->world = ph_world_new (&node->ctx, &opts, effects, err);
-  return node->world != NULL;
+  if (node->world == NULL)
+    return false;
+  for (const char *const *pair = adapter->regions; pair != NULL && pair[0] != NULL; pair += 2)
+    if (ph_data_centre_intern (&node->ctx, node->world, pair[0], pair[1], err).v == 0)
+      return false;
+  return true;
+}
+
+bool
+ph_node_is_ready (const PhNode *node)
+{
+  const PhWorld *world = node->world;
+  bool is_alone = world->membership.alive_count < 2;
+
+  if (world->is_stopping || (node->adapter->needs_routes && !world->has_routes))
+    return false;
+  return world->membership.is_joined || !is_alone || node->ctx.now > node->started_at + ALONE_TIME;
 }
 
 static void
@@ -216,7 +247,8 @@
   node->tick.data = node;
   ev_prepare_start (node->loop, &node->tick);
   ev_timer_init (&node->wake, on_wake, 0, 0);
-  ev_timer_init (&node->stop_poll, on_stop_poll, STOP_GRACE, STOP_POLL);
+  ev_timer_init (&node->stop_poll, on_stop_poll, (double)node->settings.stop_grace_ms / 1e3,
+                 STOP_POLL);
   node->stop_poll.data = node;
   for (int i = 0; i < 2; i++)
     {
@@ -226,6 +258,28 @@
     }
 }
 
+static bool
+start_servers (PhNode *node, PhError *err)
+{
+  const PhAdapter *adapter = node->adapter;
+  PhAdminOptions opts;
+
+  node->front = ph_front_new (node, err);
+  if (node->front == NULL)
+    return false;
+  ph_admin_own (node, &opts);
+  node->admin = ph_admin_new (node, &opts, err);
+  if (node->admin == NULL)
+    return false;
+  for (uint32_t i = 0; i < adapter->listener_count; i++)
+    {
+      node->listeners[i] = ph_admin_new (node, &adapter->listeners[i], err);
+      if (node->listeners[i] == NULL)
+        return false;
+    }
+  return true;
+}
+
 static bool
 start_node (PhNode *node, PhError *err)
 {
@@ -239,6 +293,8 @@
     return ph_error_set (err, PH_ERROR_IO, PH_STEP_LISTEN, NULL, "libev did not start");
   signal (SIGPIPE, SIG_IGN);
   ph_node_touch (node);
+  node->started_at = node->ctx.now;
+  node->dialect = node->adapter->dialect != NULL ? node->adapter->dialect : ph_dialect_own ();
   ph_random_seed (&node->ctx.random, (uint64_t)node->ctx.wall_us ^ ((uint64_t)getpid () << 40));
   node->ctx.log = ph_log_write;
   node->ctx.counters = &node->counters;
@@ -254,25 +310,27 @@
   node->fetch = ph_fetch_new (node, (uint32_t)node->settings.calls * 2, err);
   if (node->fetch == NULL)
     return false;
-  node->front = ph_front_new (node, err);
-  if (node->front == NULL)
-    return false;
-  node->admin = ph_admin_new (node, err);
-  if (node->admin == NULL)
+  if (!start_servers (node, err))
     return false;
   node->control = ph_control_new (node, err);
   if (node->control == NULL)
     return false;
-  node->store = ph_store_new (node, NULL, err);
+  node->store = ph_store_new (node,
+                              &(PhStoreOptions){ .dialect = node->adapter->store,
+                                                 .watch_gap = node->settings.watch_gap_ms * PH_MS },
+                              err);
   if (node->store == NULL)
     return false;
   start_watchers (node);
+  ph_reload_start (node);
   return true;
 }
 
 static void
 stop_node (PhNode *node)
 {
+  for (uint32_t i = 0; i < node->adapter->listener_count; i++)
+    ph_admin_drop (node->listeners[i]);
   ph_admin_drop (node->admin);
   ph_store_drop (node->store);
   ph_control_drop (node->control);
@@ -284,29 +342,54 @@
   ph_event_ring_clear (&node->events);
 }
 
+const PhSetting *
+ph_node_settings (size_t *count)
+{
+  *count = sizeof settings_table / sizeof *settings_table;
+  return settings_table;
+}
+
 int
-ph_command_node (int argc, char **argv)
+ph_node_run (const PhNodeSettings *settings, const PhAdapter *adapter)
 {
   static PhNode node;
   PhError err;
+  int status = PH_EXIT_FAILED;
 
-  if (!ph_settings_parse (settings_table, sizeof settings_table / sizeof *settings_table, COMMAND,
-                          NULL, "Runs the node beside an upstream VM.", &argc, &argv,
-                          &node.settings, &err)
-      || !ph_log_start (node.settings.name, node.settings.log_level, &err))
-    return ph_settings_complain (COMMAND, &err);
+  node.settings = *settings;
+  node.adapter = adapter;
   if (node.settings.upstream_address[0] == '\0')
     node.settings.upstream_address = node.settings.address;
   if (!start_node (&node, &err))
     {
       ph_log_error (&node.ctx, PH_LOG_ERROR, &err);
-      stop_node (&node);
-      return PH_EXIT_FAILED;
+      goto stop;
     }
   ph_log (&node.ctx, PH_LOG_INFO, PH_STEP_LISTEN, NULL, "node started");
   ev_run (node.loop, 0);
   ph_log (&node.ctx, PH_LOG_INFO, PH_STEP_STOP, NULL, "node stopped");
+  status = 0;
+
+stop:
   stop_node (&node);
+  return status;
+}
+
+int
+ph_command_node (int argc, char **argv)
+{
+  static const PhAdapter own;
+  PhNodeSettings settings;
+  PhError err;
+  int status;
+
+  if (!ph_settings_parse (settings_table, sizeof settings_table / sizeof *settings_table, COMMAND,
+                          NULL, "Runs the node beside an upstream VM.", &argc, &argv, &settings,
+                          &err)
+      || !ph_log_start (settings.name, settings.log_level, &err))
+    return ph_settings_complain (COMMAND, &err);
+  settings.caller = "";
+  status = ph_node_run (&settings, &own);
   ph_log_stop ();
-  return 0;
+  return status;
 }
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -5,6 +5,7 @@
 
 #include "pollenhitch/counter.h"
 #include "pollenhitch/event.h"
+#include "pollenhitch/settings.h"
 #include "pollenhitch/world.h"
 
 /*
@@ -26,6 +27,7 @@
 typedef struct PhControl PhControl;   /* ONC RPC between nodes */
 typedef struct PhStore PhStore;       /* client of the platform's store */
 typedef struct PhAdmin PhAdmin;       /* HTTP server for the local upstream and operators */
+typedef struct PhDialect PhDialect;   /* what callers and the upstream speak, see dialect.h */
 
 typedef struct
 {
@@ -48,8 +50,41 @@
   int64_t stop_seconds;
   int64_t events;
   const char *probe_path;
+  const char *settings_file; /* read at the start and when it changes, "" for none */
+  int64_t watch_gap_ms;      /* between two calls of a watch of the store */
+  const char *caller;        /* service of the VM, told to upstreams of calls that begin here */
+  int64_t stop_grace_ms;     /* calls are taken for this long after a planned stop begins */
+  int64_t announce_ttl_ms;   /* an upstream that says nothing for this long is gone */
 } PhNodeSettings;
 
+#define PH_ADAPTER_LISTENERS_MAX 4
+
+/*
+ * Adapter of a platform: what the node speaks towards it. All parts may be NULL
+ * or 0, which stands for pollenhitch's own.
+ */
+typedef struct PhAdapter
+{
+  const PhDialect *dialect;
+  const struct PhStoreDialect *store;
+  PhObjectDecodeFunc decode;
+  void *decode_user;
+  const struct PhAdminOptions *listeners;
+  uint32_t listener_count;
+  bool needs_routes;          /* the node is not ready before routes are in force */
+  const char *const *regions; /* pairs of data centre and region, NULL-terminated */
+  const char *service;        /* of the local upstream, as "team/service" */
+} PhAdapter;
+
+/* Settings that may change while the node runs, from a file of NAME=VALUE lines. */
+typedef struct
+{
+  ev_timer timer;
+  ev_signal signal;
+  int64_t modified_ns; /* of the file that was read last */
+  int64_t size;
+} PhReload;
+
 typedef struct PhNode
 {
   struct ev_loop *loop;
@@ -62,8 +97,12 @@
   PhControl *control;
   PhStore *store;
   PhAdmin *admin;
+  PhAdmin *listeners[PH_ADAPTER_LISTENERS_MAX]; /* of the adapter */
+  const PhAdapter *adapter;
+  PhReload reload;
   PhEventRing events;
   PhCounters counters;
+  const PhDialect *dialect;
   PhUpstreamId probed; /* upstream of the probe under way, or 0 */
   PhTransferId probe_transfer;
   PhTime probe_sent_at;
@@ -71,6 +110,7 @@
   ev_prepare tick;
   ev_timer wake;
   ev_timer stop_poll;
+  PhTime started_at;
   PhTime stop_at;
   bool is_quiesced; /* the ports for calls are closed */
   ev_signal stop_signals[2];
@@ -80,4 +120,14 @@
  * callback that passes input to the world. */
 void ph_node_touch (PhNode *node);
 
+/* ph_node_is_ready: whether callers may be sent to this node. */
+bool ph_node_is_ready (const PhNode *node);
+
+/* ph_node_run: run a node until a planned stop. The settings and the adapter must outlive it.
+ * Returns the exit status. */
+int ph_node_run (const PhNodeSettings *settings, const PhAdapter *adapter);
+
+/* ph_node_settings: the table of the settings that the node command takes. */
+const PhSetting *ph_node_settings (size_t *count);
+
 #endif
--- a/source/node/probe.c
+++ b/source/node/probe.c
@@ -3,12 +3,12 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "node/dialect.h"
 #include "node/fetch.h"
 #include "pollenhitch/fields.h"
 #include "pollenhitch/probe.h"
 
 #define RESPONSE_MAX (64u * 1024)
-#define STATUS_FAILED 500
 #define URL_MAX 512
 
 static void
@@ -33,18 +33,25 @@
 on_done (void *user, PhTransferId id, const PhTransferResult *result)
 {
   PhNode *node = user;
+  const PhDialect *dialect = node->dialect;
+  PhHealth health = { .cold_left = -1 };
 
+  if (result->is_ok)
+    dialect->read_health (dialect->user, node, id, node->probe_status, &health);
+  ph_registration_health (&node->ctx, node->world, &health);
   ph_fetch_drop (node->fetch, id);
   node->probe_transfer.v = 0;
-  finish (node, result->is_ok && node->probe_status < STATUS_FAILED);
+  finish (node, health.is_healthy);
 }
 
 void
 ph_probe_send (void *user, PhUpstreamId upstream_id)
 {
-  static const char *const fields[] = { PH_FIELD_PROBE ": true", NULL };
   PhNode *node = user;
+  const char *fields[] = { node->dialect->health_field, NULL };
   const PhUpstream *upstream = ph_upstream_get (&node->world->upstreams, upstream_id);
+  const PhService *service
+      = upstream != NULL ? ph_service_get (&node->world->services, upstream->service) : NULL;
   char url[URL_MAX];
   PhTransferOptions opts = { .method = "GET",
                              .url = url,
@@ -63,7 +70,8 @@
   node->probe_sent_at = node->ctx.now;
   node->probe_status = 0;
   snprintf (url, sizeof url, "http://%s:%u%s", node->settings.upstream_address, upstream->port,
-            node->settings.probe_path);
+            service != NULL && service->rules.health_path[0] != '\0' ? service->rules.health_path
+                                                                     : node->settings.probe_path);
   node->probe_transfer = ph_fetch_start (node->fetch, &opts, &err);
   if (node->probe_transfer.v == 0)
     ph_log_error (&node->ctx, PH_LOG_WARNING, &err);
--- /dev/null
+++ b/source/node/reload.c
@@ -0,0 +1,165 @@
+#include "node/reload.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "pollenhitch/log.h"
+
+#define LOOK_SECONDS 1.0
+#define FILE_MAX ((size_t)64 * 1024)
+#define LINE_NAME_MAX 64
+
+/* The settings that can change while the node runs. */
+typedef struct
+{
+  const char *log_level;
+  int64_t stop_seconds;
+  int64_t stop_grace_ms;
+} Changeable;
+
+static const PhSetting settings_table[] = {
+  { "log-level", PH_SETTING_TEXT, offsetof (Changeable, log_level), NULL, 4, 7, "" },
+  { "stop-seconds", PH_SETTING_NUMBER, offsetof (Changeable, stop_seconds), NULL, 1, 3600, "" },
+  { "stop-grace-ms", PH_SETTING_NUMBER, offsetof (Changeable, stop_grace_ms), NULL, 100, 60000,
+    "" },
+};
+
+static bool
+read_line (char *line, Changeable *changed, PhError *err)
+{
+  char *equals = strchr (line, '=');
+
+  if (line[0] == '#' || equals == NULL)
+    return true;
+  *equals = '\0';
+  for (size_t i = 0; i < sizeof settings_table / sizeof *settings_table; i++)
+    if (strcmp (line, settings_table[i].name) == 0)
+      return ph_settings_store (&settings_table[i], equals + 1, changed, err);
+  return true;
+}
+
+static bool
+read_lines (char *text, Changeable *changed, PhError *err)
+{
+  char *rest = text;
+  char *line;
+
+  while ((line = strsep (&rest, "\n")) != NULL)
+    if (!read_line (line, changed, err))
+      return false;
+  return ph_log_level_check (changed->log_level, err);
+}
+
+bool
+ph_reload_read (PhNode *node, PhError *err)
+{
+  PhNodeSettings *settings = &node->settings;
+  Changeable changed = { settings->log_level, settings->stop_seconds, settings->stop_grace_ms };
+  FILE *file = fopen (settings->settings_file, "r");
+  char *text = NULL;
+  size_t size;
+  bool is_ok = false;
+
+  if (file == NULL)
+    {
+      ph_error_set (err, PH_ERROR_IO, PH_STEP_SETTINGS, NULL, "%s: cannot be read",
+                    settings->settings_file);
+      goto done;
+    }
+  text = malloc (FILE_MAX + 1);
+  if (text == NULL)
+    {
+      ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_SETTINGS, NULL, "no memory for the settings");
+      goto done;
+    }
+  size = fread (text, 1, FILE_MAX, file);
+  text[size] = '\0';
+  if (!read_lines (text, &changed, err))
+    goto done;
+  settings->log_level = changed.log_level;
+  settings->stop_seconds = changed.stop_seconds;
+  settings->stop_grace_ms = changed.stop_grace_ms;
+  ph_log_set_level (settings->log_level);
+  is_ok = true;
+
+done:
+  free (text);
+  if (file != NULL)
+    fclose (file);
+  return is_ok;
+}
+
+static void
+reload (PhNode *node)
+{
+  PhError err;
+
+  ph_node_touch (node);
+  if (ph_reload_read (node, &err))
+    ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_SETTINGS, NULL, "settings were read again");
+  else
+    ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_SETTINGS, NULL, "settings stay as they were: %s",
+            err.text);
+}
+
+/* Notes the state of the file. Returns true when it differs from the one before. */
+static bool
+note_file (PhNode *node)
+{
+  PhReload *state = &node->reload;
+  struct stat now;
+  int64_t modified_ns;
+
+  if (stat (node->settings.settings_file, &now) != 0)
+    return false;
+  modified_ns = (int64_t)now.st_mtim.tv_sec * 1000000000 + now.st_mtim.tv_nsec;
+  if (modified_ns == state->modified_ns && now.st_size == state->size)
+    return false;
+  state->modified_ns = modified_ns;
+  state->size = now.st_size;
+  return true;
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  PhNode *node = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (note_file (node))
+    reload (node);
+}
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  PhNode *node = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (node->settings.settings_file[0] == '\0')
+    return;
+  note_file (node);
+  reload (node);
+}
+
+void
+ph_reload_start (PhNode *node)
+{
+  PhReload *state = &node->reload;
+
+  ev_signal_init (&state->signal, on_signal, SIGHUP);
+  state->signal.data = node;
+  ev_signal_start (node->loop, &state->signal);
+  if (node->settings.settings_file[0] == '\0')
+    return;
+  note_file (node);
+  reload (node);
+  ev_timer_init (&state->timer, on_look, LOOK_SECONDS, LOOK_SECONDS);
+  state->timer.data = node;
+  ev_timer_start (node->loop, &state->timer);
+}
--- a/source/node/request.c
+++ b/source/node/request.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "node/dialect.h"
 #include "pollenhitch/fields.h"
 
 /* Longest deadline that a caller may ask for. */
@@ -17,12 +18,8 @@
   return MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
 }
 
-/* Adds one "Name: value" line. */
-static void add_field (PhRequest *request, const char *format, ...)
-    __attribute__ ((format (printf, 2, 3)));
-
-static void
-add_field (PhRequest *request, const char *format, ...)
+void
+ph_request_add (PhRequest *request, const char *format, ...)
 {
   char *line = request->bytes + request->size;
   size_t room = sizeof request->bytes - request->size;
@@ -45,15 +42,17 @@
 copy_field (void *user, enum MHD_ValueKind kind, const char *name, const char *value)
 {
   PhRequest *request = user;
+  const PhDialect *dialect = request->dialect;
 
   (void)kind;
-  if (!ph_field_is_forwarded (name) || ph_field_is_listed (request->connection, name))
+  if (!ph_field_is_forwarded (name) || ph_field_is_listed (request->connection, name)
+      || (dialect->is_forwarded != NULL && !dialect->is_forwarded (dialect->user, name)))
     return MHD_YES;
   /* libcurl drops "Name:" and sends an empty field for "Name;". */
   if (value == NULL || *value == '\0')
-    add_field (request, "%s;", name);
+    ph_request_add (request, "%s;", name);
   else
-    add_field (request, "%s: %s", name, value);
+    ph_request_add (request, "%s: %s", name, value);
   return request->is_full ? MHD_NO : MHD_YES;
 }
 
@@ -64,36 +63,42 @@
 
   for (size_t i = 0; i < sizeof defaults / sizeof *defaults; i++)
     if (field_of (connection, defaults[i]) == NULL)
-      add_field (request, "%s:", defaults[i]);
+      ph_request_add (request, "%s:", defaults[i]);
 }
 
+/* Fields of the hop to another node. */
 static void
-add_own_fields (PhRequest *request,
-                const PhWorld *world,
-                PhContext *ctx,
-                const PhCall *call,
-                const PhAttempt *attempt)
+add_peer_fields (PhRequest *request,
+                 PhNode *node,
+                 const PhExchange *exchange,
+                 const PhCall *call,
+                 const PhAttempt *attempt)
 {
+  const PhWorld *world = node->world;
   const PhUpstream *upstream = ph_upstream_get (&world->upstreams, attempt->upstream);
   const PhService *service = ph_service_get (&world->services, call->service);
   char id[PH_CALL_ID_TEXT];
-  int depth = attempt->is_local ? call->depth + 1 : call->depth;
 
+  (void)exchange;
   ph_call_id_format (call->id, id);
-  add_field (request, PH_FIELD_CALL ": %s", id);
-  add_field (request, PH_FIELD_DEADLINE ": %" PRId64, ph_call_time_left (ctx, call) / PH_MS);
-  add_field (request, PH_FIELD_DEPTH ": %d", depth);
+  ph_request_add (request, PH_FIELD_CALL ": %s", id);
+  ph_request_add (request, PH_FIELD_DEADLINE ": %" PRId64,
+                  ph_call_time_left (&node->ctx, call) / PH_MS);
+  ph_request_add (request, PH_FIELD_DEPTH ": %d", call->depth);
   if (attempt->is_rerun)
-    add_field (request, PH_FIELD_RERUN ": true");
-  if (attempt->is_local)
-    {
-      add_field (request, "Expect:");
-      return;
-    }
-  add_field (request, PH_FIELD_SERVICE ": %s", service->name);
-  add_field (request, PH_FIELD_REPEATABLE ": %s", call->is_idempotent ? "true" : "false");
-  add_field (request, PH_FIELD_UPSTREAM ": %" PRIu64, upstream->epoch);
-  add_field (request, PH_FIELD_CLOCK ": %" PRIu64, ph_clock_now (ctx));
+    ph_request_add (request, PH_FIELD_RERUN ": true");
+  ph_request_add (request, PH_FIELD_SERVICE ": %s", service->name);
+  ph_request_add (request, PH_FIELD_REPEATABLE ": %s", call->is_idempotent ? "true" : "false");
+  ph_request_add (request, PH_FIELD_UPSTREAM ": %" PRIu64, upstream->epoch);
+  ph_request_add (request, PH_FIELD_CLOCK ": %" PRIu64, ph_clock_now (&node->ctx));
+  if (call->priority != 0)
+    ph_request_add (request, PH_FIELD_PRIORITY ": %u", call->priority);
+  if (call->objective_at != PH_TIME_NEVER)
+    ph_request_add (
+        request, PH_FIELD_OBJECTIVE ": %" PRId64,
+        call->objective_at > node->ctx.now ? (call->objective_at - node->ctx.now) / PH_MS : 0);
+  if (node->settings.caller[0] != '\0')
+    ph_request_add (request, PH_FIELD_CALLER ": %s", node->settings.caller);
 }
 
 static bool
@@ -134,11 +139,19 @@
   request->size = 0;
   request->long_url = NULL;
   request->is_full = false;
+  request->dialect = node->dialect;
   request->connection = field_of (exchange->connection, MHD_HTTP_HEADER_CONNECTION);
   if (!build_url (request, node, exchange, attempt))
     return ph_error_set (err, PH_ERROR_STATE, PH_STEP_CONNECT, NULL,
                          "the member of the upstream is gone");
-  add_own_fields (request, node->world, &node->ctx, call, attempt);
+  if (attempt->is_local)
+    {
+      node->dialect->add_upstream_fields (node->dialect->user, node, exchange, call, attempt,
+                                          request);
+      ph_request_add (request, "Expect:");
+    }
+  else
+    add_peer_fields (request, node, exchange, call, attempt);
   suppress_defaults (request, exchange->connection);
   MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND, copy_field, request);
   request->fields[request->count] = NULL;
@@ -193,6 +206,8 @@
   const char *call_id = field_of (connection, PH_FIELD_CALL);
   uint64_t deadline_ms = 0;
   uint64_t depth = 0;
+  uint64_t priority = 0;
+  uint64_t objective_ms = 0;
 
   memset (opts, 0, sizeof *opts);
   opts->origin = origin;
@@ -217,6 +232,13 @@
   if (call_id == NULL || !ph_call_id_parse (call_id, id))
     return false;
   opts->id = id;
+  if (!parse_field (connection, PH_FIELD_PRIORITY, UINT8_MAX, &priority)
+      || !parse_field (connection, PH_FIELD_OBJECTIVE, DEADLINE_MS_MAX, &objective_ms))
+    return false;
+  opts->priority = (uint32_t)priority;
+  /* An objective that has passed is not the same as none. */
+  if (field_of (connection, PH_FIELD_OBJECTIVE) != NULL)
+    opts->objective = objective_ms > 0 ? (PhTime)objective_ms * PH_MS : 1;
   return parse_field (connection, PH_FIELD_UPSTREAM, UINT64_MAX, &opts->upstream_epoch);
 }
 
--- a/source/node/request.h
+++ b/source/node/request.h
@@ -18,8 +18,13 @@
   char *long_url;         /* owned, when url is too small */
   const char *connection; /* value of the Connection field, or NULL */
   bool is_full;
+  const PhDialect *dialect;
 } PhRequest;
 
+/* ph_request_add: add one "Name: value" line; sets is_full when there is no room. */
+void ph_request_add (PhRequest *request, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
 /* ph_request_build: returns false with err set when the request does not fit. */
 bool ph_request_build (PhRequest *request,
                        PhDispatch *dispatch,
--- a/source/node/store.c
+++ b/source/node/store.c
@@ -1,20 +1,16 @@
 #include "node/store.h"
 
-#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "pollenhitch/object.h"
-
-#define PREFIX "/teams/"
 #define CONTACTS_PREFIX "/contacts/"
-#define WATCH_WAIT_MS 25000
-#define WATCH_TIMEOUT (30 * PH_SECOND)
+#define WATCH_WAIT_MS 20000
+#define WATCH_TIMEOUT (25 * PH_SECOND)
 #define CALL_TIMEOUT (5 * PH_SECOND)
 #define BODY_LIMIT (64u * 1024 * 1024)
-#define URL_SIZE 512
+#define URL_SIZE 768
 
 /* Calls of one node: a burst, then this many a second. */
 #define TOKENS_MAX 8
@@ -31,28 +27,43 @@
  * start together do not all call the store. */
 #define JOIN_TIME (2 * PH_SECOND)
 
+/* Nodes that start together look for each other at random points of this time, so that most of them
+ * find the contact object that the first one wrote. */
+#define FIND_SPREAD (200 * PH_MS)
+#define FIND_GAP_MIN (250 * PH_MS)
+#define FIND_GAP_MAX (10 * PH_SECOND)
+
+/* Time for the first exchange with a node that was found, before this node reads the configuration
+ * itself. */
+#define SETTLE_TIME (250 * PH_MS)
+
 /* Time for a change of the membership to spread before the rank is looked at again. */
 #define RANK_GAP PH_SECOND
 
 /* Least time between two updates of a contact object by one node. */
 #define PUBLISH_GAP (10 * PH_SECOND)
 
+/* Nodes report a move one after the other, by rank, unless they hear that another one has. */
+#define REPORT_GAP (400 * PH_MS)
+
 typedef enum
 {
   JOB_FIND,    /* read the contact objects */
-  JOB_CONFIG,  /* list, then watch */
   JOB_PUBLISH, /* read own contact object, then update it */
-  JOB_VERDICT, /* write the final verdict of a move */
-  JOB_COUNT
+  JOB_REPORT,  /* write how a move stands */
+  JOB_WATCH,   /* list, then watch; one for each prefix of the configuration */
+  JOB_COUNT = JOB_WATCH + PH_CONFIG_LISTS_MAX
 } JobKind;
 
 typedef struct Job Job;
 
 typedef struct
 {
-  bool (*is_wanted) (PhStore *store);
+  bool (*is_wanted) (Job *job);
   bool (*start) (Job *job, PhError *err);
-  bool (*finish) (Job *job, int status, const char *body, size_t size, PhError *err);
+  /* entry is called for each object of an answer, before finish. May be NULL. */
+  PhStoreEntryFunc entry;
+  bool (*finish) (Job *job, const PhStoreAnswer *answer, PhError *err);
 } JobFuncs;
 
 struct Job
@@ -60,11 +71,15 @@
   PhStore *store;
   JobKind kind;
   PhTransferId transfer;
-  const char *method; /* of the last call */
+  PhStoreCall call; /* the last one; its path is the buffer below */
+  char path[PH_PATH_MAX];
+  char after[PH_PATH_MAX]; /* WATCH: page of the list */
   PhTime started_at;
   PhTime due_at;
   PhTime backoff;
   int status;
+  bool is_listed;    /* WATCH */
+  uint64_t revision; /* WATCH: the store's, as of the last answer */
 };
 
 struct PhStore
@@ -72,28 +87,28 @@
   PhNode *node;
   PhStoreState state;
   PhStoreTransport transport;
+  const PhStoreDialect *dialect;
+  uint32_t watchers;
+  PhTime watch_gap;
   Job jobs[JOB_COUNT];
   ev_timer wake;
   PhTime started_at;
   PhTime tokens_at; /* when the bucket was, or will be, empty */
-  bool is_listed;
+  PhTime find_gap;
+  PhTime found_at; /* end of the first look for other nodes, 0 before */
   uint32_t ranked_version;
   PhTime rank_at;
   char *contacts; /* text that the contact object should have */
   char *published;
-  char contact_revision[32]; /* "" when there is no object */
+  uint64_t contact_revision; /* 0 when there is no object */
   bool is_contact_read;
-  PhMoveId verdict;        /* the move whose verdict is written or read back */
-  bool is_verdict_unknown; /* a write may have taken effect: it is read back first */
+  PhMoveId reported;      /* the move whose report is written or read back */
+  bool is_report_unknown; /* a write may have taken effect: it is read back first */
+  bool is_report_found;   /* the report that was read */
+  PhMoveOutcome report;
 };
 
-static bool begin_call (Job *job,
-                        const char *method,
-                        const char *path,
-                        const char *field,
-                        const char *body,
-                        PhTime timeout,
-                        PhError *err);
+static bool begin_call (Job *job, const PhStoreCall *call, PhTime timeout, PhError *err);
 
 static const char *
 own_data_centre (const PhStore *store)
@@ -111,18 +126,50 @@
          || store->node->ctx.now > store->started_at + JOIN_TIME;
 }
 
+/* Whether this node has looked for others, and has had time to hear from those that it found. */
+static bool
+has_settled (const PhStore *store)
+{
+  return has_joined (store)
+         && (store->node->world->membership.is_joined
+             || (store->found_at != 0 && store->node->ctx.now > store->found_at + SETTLE_TIME));
+}
+
 /* Finding other nodes. */
 
+/* Whether some data centre is known from which no member is. */
 static bool
-find_is_wanted (PhStore *store)
+misses_data_centre (const PhStore *store)
 {
-  return store->node->world->membership.alive_count < 2 && has_joined (store);
+  const PhWorld *world = store->node->world;
+  PhDataCentreId id = { 0 };
+  PhMemberId first;
+
+  while ((id = ph_data_centre_next (&world->data_centres, id)).v != 0)
+    if (ph_member_ranked (world, ph_data_centre_get (&world->data_centres, id)->name, &first, 1)
+        == 0)
+      return true;
+  return false;
+}
+
+static bool
+find_is_wanted (Job *job)
+{
+  PhStore *store = job->store;
+  bool is_wanted = (store->node->world->membership.alive_count < 2
+                    || (store->state.is_watcher && misses_data_centre (store)))
+                   && has_joined (store);
+
+  if (!is_wanted)
+    store->find_gap = FIND_GAP_MIN;
+  return is_wanted;
 }
 
 static bool
 find_start (Job *job, PhError *err)
 {
-  return begin_call (job, "GET", "/v1/list?prefix=" CONTACTS_PREFIX, NULL, NULL, CALL_TIMEOUT, err);
+  return begin_call (job, &(PhStoreCall){ .action = PH_STORE_LIST, .path = CONTACTS_PREFIX },
+                     CALL_TIMEOUT, err);
 }
 
 static void
@@ -147,116 +194,134 @@
     }
 }
 
+static void
+find_entry (void *user, const char *path, uint64_t revision, const char *text, size_t size)
+{
+  Job *job = user;
+  json_t *object = text != NULL ? json_loadb (text, size, 0, NULL) : NULL;
+
+  (void)path;
+  (void)revision;
+  seed_from_contact (job->store, object);
+  json_decref (object);
+}
+
 static bool
-find_finish (Job *job, int status, const char *body, size_t size, PhError *err)
+find_finish (Job *job, const PhStoreAnswer *answer, PhError *err)
 {
-  json_t *list = status == 200 ? json_loadb (body, size, 0, NULL) : NULL;
-  json_t *entry;
-  size_t i;
+  PhStore *store = job->store;
+  PhContext *ctx = &store->node->ctx;
 
-  if (list == NULL)
-    return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
-                         "contacts: response with status %d", status);
-  json_array_foreach (json_object_get (list, "objects"), i, entry)
-    seed_from_contact (job->store, json_object_get (entry, "object"));
-  json_decref (list);
-  job->due_at = job->store->node->ctx.now + BACKOFF_MAX;
+  (void)answer;
+  (void)err;
+  if (store->found_at == 0)
+    store->found_at = ctx->now;
+  job->due_at
+      = ctx->now + store->find_gap / 2 + ph_random_below (&ctx->random, (uint32_t)store->find_gap);
+  if (store->find_gap < FIND_GAP_MAX)
+    store->find_gap *= 2;
   return true;
 }
 
 /* Configuration. */
 
-static bool
-config_is_wanted (PhStore *store)
+static const char *
+prefix_of (const Job *job)
 {
-  return store->state.is_watcher && has_joined (store);
+  return job->store->dialect->prefixes[job->kind - JOB_WATCH];
 }
 
 static bool
-config_start (Job *job, PhError *err)
+watch_is_wanted (Job *job)
 {
-  PhStore *store = job->store;
-  char path[URL_SIZE];
+  return prefix_of (job) != NULL && job->store->state.is_watcher && has_settled (job->store);
+}
 
-  if (!store->is_listed)
-    return begin_call (job, "GET", "/v1/list?prefix=" PREFIX, NULL, NULL, CALL_TIMEOUT, err);
-  snprintf (path, sizeof path, "/v1/watch?prefix=" PREFIX "&after=%" PRIu64 "&wait_ms=%d",
-            store->state.revision, WATCH_WAIT_MS);
-  return begin_call (job, "GET", path, NULL, NULL, WATCH_TIMEOUT, err);
+static bool
+watch_start (Job *job, PhError *err)
+{
+  if (!job->is_listed)
+    return begin_call (
+        job,
+        &(PhStoreCall){ .action = PH_STORE_LIST, .path = prefix_of (job), .after = job->after },
+        CALL_TIMEOUT, err);
+  return begin_call (job,
+                     &(PhStoreCall){ .action = PH_STORE_WATCH,
+                                     .path = prefix_of (job),
+                                     .revision = job->revision,
+                                     .wait_ms = WATCH_WAIT_MS },
+                     WATCH_TIMEOUT, err);
 }
 
-/* Applies one entry of a list or a watch. */
 static void
-apply_entry (PhStore *store, const json_t *entry)
+watch_entry (void *user, const char *path, uint64_t revision, const char *text, size_t size)
 {
-  PhNode *node = store->node;
-  const char *path = json_string_value (json_object_get (entry, "path"));
-  uint64_t revision = (uint64_t)json_integer_value (json_object_get (entry, "revision"));
-  const json_t *object = json_object_get (entry, "object");
-  char *text;
+  Job *job = user;
+  PhNode *node = job->store->node;
   PhError err = { 0 };
 
-  if (path == NULL || strncmp (path, PREFIX, strlen (PREFIX)) != 0)
+  if (strncmp (path, prefix_of (job), strlen (prefix_of (job))) != 0)
     return;
-  if (json_is_true (json_object_get (entry, "deleted")))
-    {
-      ph_config_apply (&node->ctx, node->world, path, revision, NULL, 0, &err);
-      return;
-    }
-  text = object != NULL ? json_dumps (object, JSON_COMPACT | JSON_PRESERVE_ORDER) : NULL;
+  ph_config_apply (&node->ctx, node->world, path, revision, text, size, &err);
   if (text != NULL)
-    ph_config_apply (&node->ctx, node->world, path, revision, text, strlen (text), &err);
-  free (text);
-  ph_config_listed (node->world, path);
+    ph_config_listed (node->world, path);
+}
+
+static void
+end_list (Job *job, uint64_t revision)
+{
+  PhNode *node = job->store->node;
+
+  job->after[0] = '\0';
+  if (!ph_config_list_end (&node->ctx, node->world, prefix_of (job), revision))
+    ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_STORE_READ, NULL,
+            "%s: the store is at revision %llu, older than what is in force here", prefix_of (job),
+            (unsigned long long)revision);
+  job->is_listed = true;
 }
 
 static bool
-config_finish (Job *job, int status, const char *body, size_t size, PhError *err)
+watch_finish (Job *job, const PhStoreAnswer *answer, PhError *err)
 {
   PhStore *store = job->store;
   PhNode *node = store->node;
-  json_t *value;
-  json_t *entry;
   PhTime wait = (PhTime)WATCH_WAIT_MS * PH_MS;
-  uint64_t known = node->world->config_revision;
-  uint64_t revision;
-  size_t i;
+  bool was_list = job->call.action == PH_STORE_LIST;
+  bool is_new = answer->revision > job->revision;
 
-  if (status == 410 && store->is_listed)
+  if (answer->status == PH_STORE_GONE)
     {
-      store->is_listed = false;
-      job->due_at = node->ctx.now + IDLE_GAP;
+      job->is_listed = false;
+      job->due_at = node->ctx.now + store->watch_gap;
       return true;
     }
-  value = status == 200 ? json_loadb (body, size, 0, NULL) : NULL;
-  if (!json_is_integer (json_object_get (value, "revision")))
+  if (answer->status != PH_STORE_OK)
+    return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL, "%s: no list",
+                         prefix_of (job));
+  if (was_list && answer->has_more)
     {
-      json_decref (value);
-      return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
-                           "configuration: response with status %d", status);
+      ph_text_copy (job->after, sizeof job->after, answer->after);
+      return true;
     }
-  revision = (uint64_t)json_integer_value (json_object_get (value, "revision"));
-  json_array_foreach (json_object_get (value, store->is_listed ? "changes" : "objects"), i, entry)
-    apply_entry (store, entry);
-  json_decref (value);
-  if (!store->is_listed && !ph_config_list_end (&node->ctx, node->world, revision))
-    ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_STORE_READ, NULL,
-            "the store is at revision %" PRIu64 ", older than %" PRIu64 " in force here", revision,
-            node->world->config_revision);
-  store->state.revision = revision;
-  if (node->world->config_revision == known
-      && (!store->is_listed || node->ctx.now < job->started_at + wait / 2))
+  if (was_list)
+    end_list (job, answer->revision);
+  job->revision = answer->revision;
+  if (answer->revision > store->state.revision)
+    store->state.revision = answer->revision;
+  job->due_at = node->ctx.now + store->watch_gap;
+  if (!is_new && (was_list || node->ctx.now < job->started_at + wait / 2))
     job->due_at = node->ctx.now + IDLE_GAP;
-  store->is_listed = true;
   return true;
 }
 
 /* Contact object of the data centre. */
 
 static bool
-publish_is_wanted (PhStore *store)
+publish_is_wanted (Job *job)
 {
-  return store->state.is_watcher && has_joined (store) && store->contacts != NULL
+  PhStore *store = job->store;
+
+  return store->state.is_watcher && has_settled (store) && store->contacts != NULL
          && (store->published == NULL || strcmp (store->contacts, store->published) != 0);
 }
 
@@ -264,17 +329,14 @@
 publish_start (Job *job, PhError *err)
 {
   PhStore *store = job->store;
-  char path[URL_SIZE];
-  char field[64];
-
-  snprintf (path, sizeof path, "/v1/objects" CONTACTS_PREFIX "%s", own_data_centre (store));
-  if (!store->is_contact_read)
-    return begin_call (job, "GET", path, NULL, NULL, CALL_TIMEOUT, err);
-  if (store->contact_revision[0] != '\0')
-    snprintf (field, sizeof field, "If-Match: %s", store->contact_revision);
-  else
-    snprintf (field, sizeof field, "If-None-Match: *");
-  return begin_call (job, "PUT", path, field, store->contacts, CALL_TIMEOUT, err);
+  char path[PH_PATH_MAX];
+  PhStoreCall call = { .path = path, .text = store->contacts, .revision = store->contact_revision };
+
+  snprintf (path, sizeof path, CONTACTS_PREFIX "%s", own_data_centre (store));
+  call.action = !store->is_contact_read        ? PH_STORE_GET
+                : store->contact_revision != 0 ? PH_STORE_REPLACE
+                                               : PH_STORE_CREATE;
+  return begin_call (job, &call, CALL_TIMEOUT, err);
 }
 
 static void
@@ -285,172 +347,211 @@
 }
 
 static void
-take_contact (Job *job, const char *body, size_t size)
+publish_entry (void *user, const char *path, uint64_t revision, const char *text, size_t size)
 {
-  PhStore *store = job->store;
-  const char *revision = store->transport.field (store->node->fetch, job->transfer, "Revision");
-  json_t *object = json_loadb (body, size, 0, NULL);
+  Job *job = user;
+  json_t *object = text != NULL ? json_loadb (text, size, 0, NULL) : NULL;
 
-  set_published (store, object != NULL ? json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS) : NULL);
+  (void)path;
+  (void)revision;
+  set_published (job->store,
+                 object != NULL ? json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS) : NULL);
   json_decref (object);
-  snprintf (store->contact_revision, sizeof store->contact_revision, "%s",
-            revision != NULL ? revision : "");
 }
 
 static bool
-publish_finish (Job *job, int status, const char *body, size_t size, PhError *err)
+publish_finish (Job *job, const PhStoreAnswer *answer, PhError *err)
 {
   PhStore *store = job->store;
 
-  if (!store->is_contact_read && (status == 200 || status == 404))
+  (void)err;
+  if (job->call.action == PH_STORE_GET)
     {
       store->is_contact_read = true;
-      store->contact_revision[0] = '\0';
-      if (status == 200)
-        take_contact (job, body, size);
+      store->contact_revision = answer->status == PH_STORE_OK ? answer->revision : 0;
       return true;
     }
+  /* After a conflict the text of the other watcher is read before the next attempt. */
   store->is_contact_read = false;
   job->due_at = store->node->ctx.now + PUBLISH_GAP;
-  /* 412: the other watcher was first; its text is read before the next attempt. */
-  if (status != 200 && status != 412)
-    return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_WRITE, NULL,
-                         "contact object: response with status %d", status);
-  if (status == 200)
+  if (answer->status == PH_STORE_OK)
     set_published (store, strdup (store->contacts));
   return true;
 }
 
-/* Verdicts of moves. */
+/* Reports of moves. */
 
-static PhMoveId
-find_verdict (const PhStore *store)
+/* How many live members come before this node in reporting a move. */
+static uint32_t
+report_rank (const PhWorld *world, const PhMove *move)
 {
-  const PhWorld *world = store->node->world;
-  PhMoveId id = { 0 };
-  PhMoveReason reason;
+  const PhMember *self = ph_member_get (&world->members, world->membership.self);
+  uint64_t own = ph_hash_mix (self->name_hash, move->path_hash);
+  PhMemberId id = { 0 };
+  uint32_t rank = 0;
 
-  while ((id = ph_move_next (&world->moves, id)).v != 0)
+  while ((id = ph_member_next (&world->members, id)).v != 0)
     {
-      const PhMove *move = ph_move_get (&world->moves, id);
+      const PhMember *member = ph_member_get (&world->members, id);
 
-      if (move->has_object && !move->is_written && store->node->ctx.now >= move->verdict_at
-          && ph_move_outcome (&store->node->ctx, move, &reason) != PH_MOVE_OPEN)
-        break;
+      if (member->record.state == PH_MEMBER_ALIVE && !member->is_self
+          && ph_hash_mix (member->name_hash, move->path_hash) > own)
+        rank++;
     }
-  return id;
+  return rank;
 }
 
 static bool
-verdict_is_wanted (PhStore *store)
+needs_report (const PhStore *store, const PhMove *move)
+{
+  const PhContext *ctx = &store->node->ctx;
+  PhMoveReason reason;
+  PhMoveOutcome outcome = ph_move_outcome (ctx, move, &reason);
+
+  if (!move->has_object || move->is_written)
+    return false;
+  if (outcome == PH_MOVE_OPEN)
+    return store->dialect->reports_open_moves && !move->is_open_written && !move->is_waiting
+           && ctx->now >= move->begun_at + report_rank (store->node->world, move) * REPORT_GAP;
+  return ctx->now >= move->verdict_at
+                         + (store->dialect->reports_open_moves
+                                ? report_rank (store->node->world, move) * REPORT_GAP
+                                : 0);
+}
+
+static PhMoveId
+find_report (const PhStore *store)
 {
-  return store->state.is_watcher && store->is_listed && find_verdict (store).v != 0;
+  const PhWorld *world = store->node->world;
+  PhMoveId id = { 0 };
+
+  while ((id = ph_move_next (&world->moves, id)).v != 0)
+    if (needs_report (store, ph_move_get (&world->moves, id)))
+      break;
+  return id;
 }
 
-static char *
-format_verdict (const PhStore *store, const PhMove *move)
+static bool
+report_is_wanted (Job *job)
 {
-  PhMoveReason reason;
-  PhMoveOutcome outcome = ph_move_outcome (&store->node->ctx, move, &reason);
-  json_t *object = json_pack (
-      "{s:s, s:{s:s, s:s, s:I, s:i, s:i}}", "kind", "move-status", "spec", "outcome",
-      ph_move_outcome_name (outcome), "reason", ph_move_reason_name (reason), "move_revision",
-      (json_int_t)move->revision, "stage", (int)move->stage, "route", (int)move->route);
-  char *text = json_dumps (object, JSON_COMPACT);
+  PhStore *store = job->store;
 
-  json_decref (object);
-  return text;
+  return (store->state.is_watcher || store->dialect->reports_open_moves) && has_settled (store)
+         && find_report (store).v != 0;
 }
 
 static bool
-verdict_start (Job *job, PhError *err)
+report_start (Job *job, PhError *err)
 {
   PhStore *store = job->store;
-  PhMoveId id = find_verdict (store);
+  PhMoveId id = find_report (store);
   const PhMove *move = ph_move_get (&store->node->world->moves, id);
-  PhObjectPath parts;
-  char path[URL_SIZE];
-  char *text;
-  bool is_ok;
+  char path[PH_PATH_MAX];
+  PhStoreCall call = { .path = path, .move = move, .revision = move->object_revision };
+
+  store->dialect->report_path (store->dialect->user, move, path);
+  if (path[0] == '\0')
+    return ph_error_set (err, PH_ERROR_INVALID, PH_STEP_MOVE, NULL, "%s: not a path of a move",
+                         move->path);
+  if (id.v != store->reported.v)
+    store->is_report_unknown = false;
+  store->reported = id;
+  store->is_report_found = false;
+  call.outcome = ph_move_outcome (&store->node->ctx, move, &call.reason);
+  call.action = store->is_report_unknown ? PH_STORE_GET : PH_STORE_REPORT;
+  store->is_report_unknown = true;
+  return begin_call (job, &call, CALL_TIMEOUT, err);
+}
 
-  if (!ph_object_path_parse (move->path, &parts, err))
-    return false;
-  if (id.v != store->verdict.v)
-    store->is_verdict_unknown = false;
-  store->verdict = id;
-  snprintf (path, sizeof path, "/v1/objects/status/moves/%s/%s", parts.team, parts.name);
-  if (store->is_verdict_unknown)
-    return begin_call (job, "GET", path, NULL, NULL, CALL_TIMEOUT, err);
-  text = format_verdict (store, move);
-  store->is_verdict_unknown = true;
-  is_ok = begin_call (job, "PUT", path, "If-None-Match: *", text, CALL_TIMEOUT, err);
-  free (text);
-  return is_ok;
-}
-
-/* The verdict in the store is the one that counts: takes it over where this node knew another. */
 static void
-take_verdict (PhStore *store, PhMove *move, const char *body, size_t size)
+report_entry (void *user, const char *path, uint64_t revision, const char *text, size_t size)
+{
+  Job *job = user;
+  PhStore *store = job->store;
+  const PhStoreDialect *dialect = store->dialect;
+  PhMove *move = ph_move_get (&store->node->world->moves, store->reported);
+
+  (void)path;
+  if (move == NULL || text == NULL)
+    return;
+  if (revision > move->object_revision)
+    move->object_revision = revision;
+  store->is_report_found = dialect->read_report (dialect->user, text, size, move, &store->report);
+}
+
+/* The report in the store is the one that counts: takes it over where this node knew another. */
+static void
+take_report (PhStore *store, PhMove *move)
 {
   PhNode *node = store->node;
-  json_t *object = json_loadb (body, size, 0, NULL);
-  json_t *spec = json_object_get (object, "spec");
-  const char *outcome = json_string_value (json_object_get (spec, "outcome"));
-  uint64_t revision = (uint64_t)json_integer_value (json_object_get (spec, "move_revision"));
   PhMoveFlag flag = ph_move_flag (move);
 
   move->is_written = true;
-  if (outcome == NULL || revision != move->revision)
-    ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_MOVE, NULL,
-            "%s: the store holds the verdict of revision %" PRIu64 " already", move->path,
-            revision);
-  else if (strcmp (outcome, ph_move_outcome_name (PH_MOVE_DONE)) == 0)
+  if (store->report == PH_MOVE_DONE)
     flag.stage = PH_MOVE_STAGES;
-  else if (!flag.is_bad)
+  else if (store->report == PH_MOVE_TAKEN_BACK && !flag.is_bad)
     {
       flag.is_bad = true;
       flag.reason = PH_MOVE_REASON_DEADLINE;
     }
+  else if (store->report == PH_MOVE_OPEN)
+    ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_MOVE, NULL,
+            "%s: the store holds the report of another revision", move->path);
   ph_move_merge (&node->ctx, node->world, &flag);
-  json_decref (object);
 }
 
 static bool
-verdict_finish (Job *job, int status, const char *body, size_t size, PhError *err)
+report_finish (Job *job, const PhStoreAnswer *answer, PhError *err)
 {
   PhStore *store = job->store;
-  PhMove *move = ph_move_get (&store->node->world->moves, store->verdict);
-  bool is_read = strcmp (job->method, "GET") == 0;
+  PhNode *node = store->node;
+  PhMove *move = ph_move_get (&node->world->moves, store->reported);
 
-  if (!is_read && status == 412)
-    return true; /* another watcher was first: its verdict is read next */
-  if (status == 404 && is_read)
+  (void)err;
+  if (answer->status == PH_STORE_CONFLICT)
+    return true; /* another node was first: its report is read next */
+  store->is_report_unknown = false;
+  if (move == NULL)
+    return true;
+  if (job->call.action == PH_STORE_GET)
     {
-      store->is_verdict_unknown = false;
-      job->due_at = store->node->ctx.now + IDLE_GAP;
+      if (store->is_report_found
+          && (store->report != PH_MOVE_OPEN || !store->dialect->reports_open_moves))
+        take_report (store, move);
+      else if (store->is_report_found)
+        move->is_open_written = true;
+      job->due_at = node->ctx.now + store->watch_gap;
       return true;
     }
-  if (status != 200)
-    return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_WRITE, NULL,
-                         "verdict of a move: response with status %d", status);
-  store->is_verdict_unknown = false;
-  if (move == NULL)
-    return true;
-  if (is_read)
-    take_verdict (store, move, body, size);
+  if (answer->status != PH_STORE_OK)
+    {
+      job->due_at = node->ctx.now + IDLE_GAP;
+      return true;
+    }
+  ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL, "%s: reported as %s", move->path,
+          ph_move_outcome_name (job->call.outcome));
+  if (answer->revision > move->object_revision)
+    move->object_revision = answer->revision;
+  if (job->call.outcome == PH_MOVE_OPEN)
+    move->is_open_written = true;
   else
-    ph_log (&store->node->ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL, "%s: verdict written", move->path);
-  move->is_written = true;
+    move->is_written = true;
   return true;
 }
 
-static const JobFuncs job_funcs[JOB_COUNT] = {
-  [JOB_FIND] = { find_is_wanted, find_start, find_finish },
-  [JOB_CONFIG] = { config_is_wanted, config_start, config_finish },
-  [JOB_PUBLISH] = { publish_is_wanted, publish_start, publish_finish },
-  [JOB_VERDICT] = { verdict_is_wanted, verdict_start, verdict_finish },
+static const JobFuncs job_funcs[] = {
+  [JOB_FIND] = { find_is_wanted, find_start, find_entry, find_finish },
+  [JOB_PUBLISH] = { publish_is_wanted, publish_start, publish_entry, publish_finish },
+  [JOB_REPORT] = { report_is_wanted, report_start, report_entry, report_finish },
+  [JOB_WATCH] = { watch_is_wanted, watch_start, watch_entry, watch_finish },
 };
 
+static const JobFuncs *
+funcs_of (const Job *job)
+{
+  return &job_funcs[job->kind < JOB_WATCH ? job->kind : JOB_WATCH];
+}
+
 /* Waits longer after each failure in a row, at a random point of the interval. */
 static void
 back_off (Job *job)
@@ -503,21 +604,37 @@
   job->status = status;
 }
 
+/* Reads a response and passes it to the job. */
+static bool
+take_response (Job *job, PhTransferId id, PhError *err)
+{
+  PhStore *store = job->store;
+  const PhStoreDialect *dialect = store->dialect;
+  PhStoreResponse response = { .status = job->status };
+  PhStoreAnswer answer;
+
+  response.body = store->transport.body (store->node->fetch, id, &response.size);
+  if (response.body == NULL)
+    response.body = "";
+  response.revision_field = store->transport.field (store->node->fetch, id, "Revision");
+  return dialect->decode (dialect->user, &job->call, &response, funcs_of (job)->entry, job, &answer,
+                          err)
+         && funcs_of (job)->finish (job, &answer, err);
+}
+
 static void
 on_done (void *user, PhTransferId id, const PhTransferResult *result)
 {
   Job *job = user;
   PhStore *store = job->store;
   PhError err = { 0 };
-  size_t size = 0;
-  const char *body = store->transport.body (store->node->fetch, id, &size);
   bool is_ok;
 
   if (!result->is_ok)
     is_ok = ph_error_set (&err, PH_ERROR_IO, PH_STEP_STORE_READ, store->node->settings.store, "%s",
                           result->text);
   else
-    is_ok = job_funcs[job->kind].finish (job, job->status, body != NULL ? body : "", size, &err);
+    is_ok = take_response (job, id, &err);
   if (is_ok)
     note_success (job);
   else
@@ -526,35 +643,41 @@
   job->transfer = (PhTransferId){ 0 };
 }
 
+/* The text of the call is not used any more after this. */
 static bool
-begin_call (Job *job,
-            const char *method,
-            const char *path,
-            const char *field,
-            const char *body,
-            PhTime timeout,
-            PhError *err)
+begin_call (Job *job, const PhStoreCall *call, PhTime timeout, PhError *err)
 {
   PhStore *store = job->store;
-  char url[URL_SIZE + 256];
-  const char *fields[] = { field, NULL };
-  PhTransferOptions opts = { .method = method,
-                             .url = url,
+  const PhStoreDialect *dialect = store->dialect;
+  PhStoreRequest request;
+  char url[URL_SIZE];
+  const char *fields[] = { NULL, NULL };
+  PhTransferOptions opts = { .url = url,
                              .fields = fields,
-                             .body_size = body != NULL ? (int64_t)strlen (body) : PH_BODY_NONE,
-                             .body = body,
                              .timeout = timeout,
                              .is_body_collected = true,
                              .body_limit = BODY_LIMIT,
                              .funcs = { .head = on_head, .done = on_done },
                              .user = job };
 
-  snprintf (url, sizeof url, "%s%s", store->node->settings.store, path);
+  ph_text_copy (job->path, sizeof job->path, call->path);
+  if (!dialect->encode (dialect->user, call, &request, err))
+    return false;
+  job->call = *call;
+  job->call.path = job->path;
+  job->call.after = job->call.text = NULL;
+  job->call.move = NULL;
+  snprintf (url, sizeof url, "%s%s", store->node->settings.store, request.target);
+  if (request.field[0] != '\0')
+    fields[0] = request.field;
+  opts.method = request.method;
+  opts.body = request.body;
+  opts.body_size = request.body != NULL ? (int64_t)strlen (request.body) : PH_BODY_NONE;
   job->status = 0;
-  job->method = method;
   job->started_at = store->node->ctx.now;
   store->state.calls++;
   job->transfer = store->transport.start (store->node->fetch, &opts, err);
+  free (request.body);
   return job->transfer.v != 0;
 }
 
@@ -612,7 +735,7 @@
   store->rank_at = node->ctx.now + RANK_GAP;
   store->ranked_version = world->membership.version;
   count = ph_member_ranked (world, own_data_centre (store), ids, PH_STORE_CONTACTS_MAX);
-  for (uint32_t i = 0; i < count && i < PH_STORE_WATCHERS; i++)
+  for (uint32_t i = 0; i < count && i < store->watchers; i++)
     is_watcher = is_watcher || ids[i].v == world->membership.self.v;
   if (is_watcher != store->state.is_watcher)
     ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STORE_WATCH, NULL,
@@ -627,13 +750,13 @@
 run_job (Job *job, bool *has_worked)
 {
   PhStore *store = job->store;
-  const JobFuncs *funcs = &job_funcs[job->kind];
+  const JobFuncs *funcs = funcs_of (job);
   PhTime now = store->node->ctx.now;
   PhError err = { 0 };
 
-  if (!funcs->is_wanted (store))
+  if (!funcs->is_wanted (job))
     {
-      if (job->kind == JOB_CONFIG && job->transfer.v != 0)
+      if (job->kind >= JOB_WATCH && job->transfer.v != 0)
         {
           store->transport.drop (store->node->fetch, job->transfer);
           job->transfer = (PhTransferId){ 0 };
@@ -653,6 +776,25 @@
   return job->due_at;
 }
 
+/* Whether a move is known whose report is not written yet. */
+static bool
+has_open_report (const PhStore *store)
+{
+  const PhWorld *world = store->node->world;
+  PhMoveId id = { 0 };
+
+  if (!store->dialect->reports_open_moves)
+    return false;
+  while ((id = ph_move_next (&world->moves, id)).v != 0)
+    {
+      const PhMove *move = ph_move_get (&world->moves, id);
+
+      if (move->has_object && !move->is_written)
+        return true;
+    }
+  return false;
+}
+
 static void
 plan_wake (PhStore *store, PhTime next)
 {
@@ -661,6 +803,10 @@
 
   if (!has_joined (store) && store->started_at + JOIN_TIME < next)
     next = store->started_at + JOIN_TIME + PH_MS;
+  if (!has_settled (store) && store->found_at != 0 && store->found_at + SETTLE_TIME < next)
+    next = store->found_at + SETTLE_TIME + PH_MS;
+  if (has_open_report (store) && now + REPORT_GAP < next)
+    next = now + REPORT_GAP;
   if (store->ranked_version != node->world->membership.version && store->rank_at < next)
     next = store->rank_at;
   ev_timer_stop (node->loop, &store->wake);
@@ -699,7 +845,7 @@
 }
 
 PhStore *
-ph_store_new (PhNode *node, const PhStoreTransport *transport, PhError *err)
+ph_store_new (PhNode *node, const PhStoreOptions *opts, PhError *err)
 {
   static const PhStoreTransport fetch
       = { ph_fetch_start, ph_fetch_drop, ph_fetch_body, ph_fetch_field };
@@ -711,11 +857,17 @@
       return NULL;
     }
   store->node = node;
-  store->transport = transport != NULL ? *transport : fetch;
+  store->transport = opts->transport != NULL ? *opts->transport : fetch;
+  store->dialect = opts->dialect != NULL ? opts->dialect : ph_store_dialect_own ();
+  store->watchers = opts->watchers != 0 ? opts->watchers : PH_STORE_WATCHERS;
+  store->watch_gap = opts->watch_gap;
+  store->find_gap = FIND_GAP_MIN;
   store->started_at = node->ctx.now;
   store->state.is_configured = node->settings.store[0] != '\0';
   for (int i = 0; i < JOB_COUNT; i++)
     store->jobs[i] = (Job){ .store = store, .kind = (JobKind)i };
+  store->jobs[JOB_FIND].due_at
+      = node->ctx.now + ph_random_below (&node->ctx.random, (uint32_t)FIND_SPREAD);
   ev_timer_init (&store->wake, on_wake, 0, 0);
   return store;
 }
--- /dev/null
+++ b/source/node/store_dialect.c
@@ -0,0 +1,180 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/store.h"
+#include "pollenhitch/object.h"
+
+/* pollenhitch's own dialect of the store; docs/store-api.md describes it. */
+
+static bool
+encode (void *user, const PhStoreCall *call, PhStoreRequest *request, PhError *err)
+{
+  char *target = request->target;
+  size_t size = sizeof request->target;
+  json_t *report;
+
+  (void)user;
+  request->method = "GET";
+  request->field[0] = '\0';
+  request->body = NULL;
+  switch (call->action)
+    {
+    case PH_STORE_LIST:
+      snprintf (target, size, "/v1/list?prefix=%s", call->path);
+      return true;
+    case PH_STORE_WATCH:
+      snprintf (target, size, "/v1/watch?prefix=%s&after=%" PRIu64 "&wait_ms=%u", call->path,
+                call->revision, call->wait_ms);
+      return true;
+    case PH_STORE_GET:
+      snprintf (target, size, "/v1/objects%s", call->path);
+      return true;
+    case PH_STORE_CREATE:
+      snprintf (request->field, sizeof request->field, "If-None-Match: *");
+      request->body = strdup (call->text);
+      break;
+    case PH_STORE_REPLACE:
+      snprintf (request->field, sizeof request->field, "If-Match: %" PRIu64, call->revision);
+      request->body = strdup (call->text);
+      break;
+    case PH_STORE_REPORT:
+      snprintf (request->field, sizeof request->field, "If-None-Match: *");
+      report = json_pack ("{s:s, s:{s:s, s:s, s:I, s:i, s:i}}", "kind", "move-status", "spec",
+                          "outcome", ph_move_outcome_name (call->outcome), "reason",
+                          ph_move_reason_name (call->reason), "move_revision",
+                          (json_int_t)call->move->revision, "stage", (int)call->move->stage,
+                          "route", (int)call->move->route);
+      request->body = json_dumps (report, JSON_COMPACT);
+      json_decref (report);
+      break;
+    }
+  request->method = "PUT";
+  snprintf (target, size, "/v1/objects%s", call->path);
+  if (request->body != NULL)
+    return true;
+  return ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_STORE_WRITE, NULL, "no memory for a call");
+}
+
+static void
+pass_entry (const json_t *item, PhStoreEntryFunc entry, void *entry_user)
+{
+  const char *path = json_string_value (json_object_get (item, "path"));
+  uint64_t revision = (uint64_t)json_integer_value (json_object_get (item, "revision"));
+  const json_t *object = json_object_get (item, "object");
+  char *text;
+
+  if (path == NULL)
+    return;
+  if (json_is_true (json_object_get (item, "deleted")))
+    {
+      entry (entry_user, path, revision, NULL, 0);
+      return;
+    }
+  text = object != NULL ? json_dumps (object, JSON_COMPACT | JSON_PRESERVE_ORDER) : NULL;
+  if (text != NULL)
+    entry (entry_user, path, revision, text, strlen (text));
+  free (text);
+}
+
+static bool
+decode_many (const PhStoreCall *call,
+             const PhStoreResponse *response,
+             PhStoreEntryFunc entry,
+             void *entry_user,
+             PhStoreAnswer *answer,
+             PhError *err)
+{
+  json_t *value = json_loadb (response->body, response->size, 0, NULL);
+  json_t *item;
+  size_t i;
+
+  if (!json_is_integer (json_object_get (value, "revision")))
+    {
+      json_decref (value);
+      return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
+                           "%s: the response names no revision", call->path);
+    }
+  answer->revision = (uint64_t)json_integer_value (json_object_get (value, "revision"));
+  json_array_foreach (
+      json_object_get (value, call->action == PH_STORE_LIST ? "objects" : "changes"), i, item)
+    pass_entry (item, entry, entry_user);
+  json_decref (value);
+  return true;
+}
+
+static bool
+decode (void *user,
+        const PhStoreCall *call,
+        const PhStoreResponse *response,
+        PhStoreEntryFunc entry,
+        void *entry_user,
+        PhStoreAnswer *answer,
+        PhError *err)
+{
+  bool is_many = call->action == PH_STORE_LIST || call->action == PH_STORE_WATCH;
+
+  (void)user;
+  *answer = (PhStoreAnswer){ .status = PH_STORE_OK };
+  if (response->status == 404 && !is_many)
+    answer->status = PH_STORE_NOT_FOUND;
+  else if (response->status == 412)
+    answer->status = PH_STORE_CONFLICT;
+  else if (response->status == 410)
+    answer->status = PH_STORE_GONE;
+  else if (response->status != 200)
+    return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
+                         "%s: response with status %d", call->path, response->status);
+  if (answer->status != PH_STORE_OK)
+    return true;
+  if (is_many)
+    return decode_many (call, response, entry, entry_user, answer, err);
+  if (response->revision_field != NULL)
+    answer->revision = strtoull (response->revision_field, NULL, 10);
+  if (call->action == PH_STORE_GET)
+    entry (entry_user, call->path, answer->revision, response->body, response->size);
+  return true;
+}
+
+static void
+report_path (void *user, const PhMove *move, char *path)
+{
+  PhObjectPath parts;
+
+  (void)user;
+  path[0] = '\0';
+  if (ph_object_path_parse (move->path, &parts, NULL))
+    snprintf (path, PH_PATH_MAX, "/status/moves/%s/%s", parts.team, parts.name);
+}
+
+static bool
+read_report (void *user, const char *text, size_t size, const PhMove *move, PhMoveOutcome *outcome)
+{
+  json_t *object = json_loadb (text, size, 0, NULL);
+  json_t *spec = json_object_get (object, "spec");
+  const char *name = json_string_value (json_object_get (spec, "outcome"));
+  uint64_t revision = (uint64_t)json_integer_value (json_object_get (spec, "move_revision"));
+
+  (void)user;
+  /* The report of an earlier revision stays, and says nothing of this one. */
+  *outcome = PH_MOVE_OPEN;
+  if (name != NULL && revision == move->revision)
+    *outcome = strcmp (name, ph_move_outcome_name (PH_MOVE_DONE)) == 0 ? PH_MOVE_DONE
+                                                                       : PH_MOVE_TAKEN_BACK;
+  json_decref (object);
+  return true;
+}
+
+const PhStoreDialect *
+ph_store_dialect_own (void)
+{
+  static const PhStoreDialect own = { .encode = encode,
+                                      .decode = decode,
+                                      .report_path = report_path,
+                                      .read_report = read_report,
+                                      .prefixes = { "/teams/" } };
+
+  return &own;
+}
--- a/source/wire/control.c
+++ b/source/wire/control.c
@@ -79,6 +79,7 @@
     return;
   *upstream = (ph_x_upstream){ .service = (char *)record->service,
                                .release = (char *)record->version,
+                               .epoch = record->upstream_epoch,
                                .state = record->upstream_state,
                                .slots = record->slots,
                                .connections = record->connections };
@@ -360,6 +361,7 @@
   if (x->upstream->state > PH_UPSTREAM_DRAINING)
     return false;
   record->has_upstream = true;
+  record->upstream_epoch = x->upstream->epoch;
   record->upstream_state = (PhUpstreamState)x->upstream->state;
   record->slots = x->upstream->slots;
   record->connections = x->upstream->connections;
--- a/source/wire/control.x
+++ b/source/wire/control.x
@@ -11,6 +11,7 @@
 {
   string service<63>;
   string release<31>;
+  unsigned hyper epoch;
   unsigned int state;
   unsigned int slots;
   unsigned int connections;
--- a/source/wire/control_xdr.c
+++ b/source/wire/control_xdr.c
@@ -14,6 +14,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->release, 31))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
--- a/source/wire/control_xdr.h
+++ b/source/wire/control_xdr.h
@@ -17,6 +17,7 @@
 struct ph_x_upstream {
 	char *service;
 	char *release;
+	u_quad_t epoch;
 	u_int state;
 	u_int slots;
 	u_int connections;
--- a/source/wire/fields.c
+++ b/source/wire/fields.c
@@ -91,14 +91,15 @@
 void
 ph_load_format (const PhLoad *load, char *text)
 {
-  snprintf (text, PH_LOAD_TEXT, "%" PRIu32 " %" PRIu32 " %" PRIu32 " %" PRIu32, load->in_flight,
-            load->queued, load->limit, load->latency_us);
+  snprintf (text, PH_LOAD_TEXT, "%" PRIu32 " %" PRIu32 " %" PRIu32 " %" PRIu32 " %" PRIu32,
+            load->in_flight, load->queued, load->limit, load->latency_us, load->slowness);
 }
 
 bool
 ph_load_parse (const char *text, PhLoad *load)
 {
-  uint32_t *const parts[] = { &load->in_flight, &load->queued, &load->limit, &load->latency_us };
+  uint32_t *const parts[]
+      = { &load->in_flight, &load->queued, &load->limit, &load->latency_us, &load->slowness };
   char copy[PH_LOAD_TEXT];
   char *rest = copy;
 
--- a/source/wire/object.c
+++ b/source/wire/object.c
@@ -85,7 +85,7 @@
   const char *collection;
   const Field *fields;
   size_t field_count;
-} kinds[PH_OBJECT_KIND_COUNT] = {
+} kinds[PH_OBJECT_TEAM_KINDS] = {
   [PH_OBJECT_SERVICE] = { "service", "services", FIELDS (service_fields) },
   [PH_OBJECT_DATA_CENTRE] = { "data-centre", "data-centres", FIELDS (data_centre_fields) },
   [PH_OBJECT_MOVE] = { "move", "moves", FIELDS (move_fields) },
@@ -97,13 +97,13 @@
 const char *
 ph_object_kind_name (PhObjectKind kind)
 {
-  return (unsigned)kind < PH_OBJECT_KIND_COUNT ? kinds[kind].name : "unknown";
+  return (unsigned)kind < PH_OBJECT_TEAM_KINDS ? kinds[kind].name : "unknown";
 }
 
 const char *
 ph_object_collection (PhObjectKind kind)
 {
-  return (unsigned)kind < PH_OBJECT_KIND_COUNT ? kinds[kind].collection : "unknown";
+  return (unsigned)kind < PH_OBJECT_TEAM_KINDS ? kinds[kind].collection : "unknown";
 }
 
 static bool
@@ -173,11 +173,11 @@
   memcpy (parts->team, team, (size_t)(collection - team));
   parts->team[collection - team] = '\0';
   length = (size_t)(name - ++collection);
-  for (parts->kind = 0; parts->kind < PH_OBJECT_KIND_COUNT; parts->kind++)
+  for (parts->kind = 0; parts->kind < PH_OBJECT_TEAM_KINDS; parts->kind++)
     if (strlen (kinds[parts->kind].collection) == length
         && strncmp (kinds[parts->kind].collection, collection, length) == 0)
       break;
-  if (parts->kind == PH_OBJECT_KIND_COUNT)
+  if (parts->kind == PH_OBJECT_TEAM_KINDS)
     return complain_path (path, "the collection",
                           "services, data-centres, moves, budgets, upstream-rules", err);
   name++;
@@ -383,6 +383,7 @@
       ph_text_copy (object->spec.upstream_rules.service, PH_NAME_MAX, service);
       break;
     case PH_OBJECT_MOVE:
+    case PH_OBJECT_ROUTES:
     case PH_OBJECT_KIND_COUNT:
       break;
     }
--- a/tests/bench/choice.c
+++ b/tests/bench/choice.c
@@ -270,7 +270,7 @@
   const Upstream *upstream = &m->upstreams[flight->upstream];
 
   flight->load = (PhLoad){ upstream->in_flight, upstream->queued, upstream->slots,
-                           (uint32_t)upstream->slots_us };
+                           (uint32_t)upstream->slots_us, 0 };
   model_event (m, delay (m, &m->nodes[flight->node], flight->upstream), EVENT_RESPONSE, handle);
 }
 
@@ -699,7 +699,7 @@
                     .slots = 9 };
             PhUpstreamId id = ph_upstream_put (&ctx, world, (PhUpstreamId){ 0 }, &opts, NULL);
 
-            ph_upstream_report (&ctx, world, id, &(PhLoad){ k % 9, 0, 9, 5000 });
+            ph_upstream_report (&ctx, world, id, &(PhLoad){ k % 9, 0, 9, 5000, 0 });
           }
         service = ph_service_get (&world->services, ph_service_find (world, "team/service"));
         start = seconds ();
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -655,7 +655,7 @@
     {
       PhCallId call = open_script_call (&s, &(PhCallOptions){ .service = FIXTURE_SERVICE });
       PhAttempt *attempt = ph_attempt_get (&s.fixture.world->attempts, open_attempt (&s, false));
-      PhLoad load = { 1, 0, 4, 5000 };
+      PhLoad load = { 1, 0, 4, 5000, 0 };
 
       s.fixture.ctx.now += PH_MS;
       if (is_local && i % 100 == 0)
@@ -668,7 +668,7 @@
       attempt->is_error = attempt->upstream.v == failing.v;
       failures += attempt->is_error && i >= 1000;
       if (attempt->is_error)
-        load = (PhLoad){ 0, 0, 4, 0 };
+        load = (PhLoad){ 0, 0, 4, 0, 0 };
       else
         s.fixture.ctx.now += 4 * PH_MS;
       if (!attempt->is_local)
--- a/tests/test_call_random.c
+++ b/tests/test_call_random.c
@@ -290,7 +290,7 @@
   Flight *flight = ph_table_get (&run->flights, handle);
   const PhAttempt *attempt = ph_attempt_get (&f->world->attempts, flight->attempt);
   const PhLoad load = { ph_random_below (&run->random, 6), ph_random_below (&run->random, 3), 4,
-                        ph_random_below (&run->random, 20000) };
+                        ph_random_below (&run->random, 20000), 0 };
 
   if (attempt != NULL)
     {
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -103,8 +103,9 @@
       near = fixture_put (&f, (PhUpstreamId){ 0 }, 0, PH_UPSTREAM_READY, "1");
       far = fixture_put (&f, (PhUpstreamId){ 0 }, c->far_dc, PH_UPSTREAM_READY, "1");
       ph_upstream_report (&f.ctx, f.world, near,
-                          &(PhLoad){ c->near_busy, 0, 4, c->near_latency_us });
-      ph_upstream_report (&f.ctx, f.world, far, &(PhLoad){ c->far_busy, 0, 4, c->far_latency_us });
+                          &(PhLoad){ c->near_busy, 0, 4, c->near_latency_us, 0 });
+      ph_upstream_report (&f.ctx, f.world, far,
+                          &(PhLoad){ c->far_busy, 0, 4, c->far_latency_us, 0 });
       if ((choose (&f, &call).v == near.v) != c->is_near_chosen)
         CU_FAIL (c->name);
       fixture_stop (&f);
@@ -264,7 +265,7 @@
       PhUpstreamId id = choose (&f, &call);
       bool is_slow = id.v == ids[0].v && i < 30000;
 
-      ph_upstream_report (&f.ctx, f.world, id, &(PhLoad){ 1, 0, 4, is_slow ? 50000 : 5000 });
+      ph_upstream_report (&f.ctx, f.world, id, &(PhLoad){ 1, 0, 4, is_slow ? 50000 : 5000, 0 });
       slow += is_slow && i >= 1000;
       recovered += id.v == ids[0].v && i >= 45000;
       f.ctx.now += PH_MS;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -446,7 +446,7 @@
   for (uint32_t i = 0; i < PATHS; i++)
     if (fleet.revisions[i] != 0 && !fleet.deleted[i])
       apply (slot, i);
-  ph_config_list_end (&slot->ctx, slot->world, fleet.revision);
+  ph_config_list_end (&slot->ctx, slot->world, "/teams/", fleet.revision);
   tick (slot);
 }
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -258,7 +258,7 @@
         ph_member_merge (&node->ctx, node->world, &other);
     }
   node->world->membership.is_joined = true;
-  fake.stores[i] = ph_store_new (node, &transport, NULL);
+  fake.stores[i] = ph_store_new (node, &(PhStoreOptions){ .transport = &transport }, NULL);
 }
 
 /* A move that some nodes know to be bad, and others do not: those find that its deadline passed. */
