--- a/include/pollenhitch/admission.h
+++ b/include/pollenhitch/admission.h
@@ -21,7 +21,7 @@
  */
 
 /* Key of an attempt in the queue, smallest first. start_by is its latest useful start. */
-typedef PhTime (*PhOrderFunc) (void *user, PhTime now, PhTime start_by);
+typedef PhTime (*PhOrderFunc) (void *user, const PhCall *call, PhTime now, PhTime start_by);
 
 /* How the local upstream is protected. The defaults are set by ph_admission_init; the measurements
  * replace them. */
@@ -98,8 +98,19 @@
 void ph_admission_system (PhContext *ctx, PhWorld *world);
 
 /* Orders of the queue, for the policy. */
-PhTime ph_order_start_by (void *user, PhTime now, PhTime start_by);
-PhTime ph_order_first_in (void *user, PhTime now, PhTime start_by);
-PhTime ph_order_last_in (void *user, PhTime now, PhTime start_by);
+PhTime ph_order_start_by (void *user, const PhCall *call, PhTime now, PhTime start_by);
+PhTime ph_order_first_in (void *user, const PhCall *call, PhTime now, PhTime start_by);
+PhTime ph_order_last_in (void *user, const PhCall *call, PhTime now, PhTime start_by);
+
+/*
+ * ph_order_urgency: calls that can still meet their objective before those that
+ * cannot, then by priority, then by latest useful start.
+ *
+ * A late response is worth a small part of one in time, so that under overload the
+ * slots go to calls for which they still make the difference; what is late takes
+ * what is left. Calls without an objective or a priority are in the order of
+ * ph_order_start_by.
+ */
+PhTime ph_order_urgency (void *user, const PhCall *call, PhTime now, PhTime start_by);
 
 #endif
--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -98,6 +98,7 @@
   uint8_t route;        /* bucket of method and path, see ph_move_route */
   bool is_bulk;         /* a large response is expected */
   uint8_t priority;     /* 0 is the most urgent */
+  bool is_late;         /* waits, and is expected to miss its objective */
   uint8_t attempts_max; /* upstreams that the call may reach */
   uint8_t arrivals;     /* attempts that reached an upstream */
   uint8_t tried_count;
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -117,6 +117,7 @@
   uint64_t object_digests[PH_SYNC_BUCKETS];
   uint32_t traced_limit; /* of the last limit event */
   bool is_stopping;
+  bool is_closed; /* a planned stop takes no more calls, of callers neither */
   PhEffects effects;
   PhObjectDecodeFunc decode;
   void *decode_user;
@@ -144,6 +145,10 @@
 /* ph_world_stop: a planned stop. New calls are refused as not run; calls in flight finish. */
 void ph_world_stop (PhContext *ctx, PhWorld *world);
 
+/* ph_world_close: the last part of a planned stop. Calls of callers are refused too, as not run:
+ * they would be cut off at its end. */
+void ph_world_close (PhWorld *world);
+
 /* ph_world_is_idle: no call is open. */
 bool ph_world_is_idle (const PhWorld *world);
 
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -21,30 +21,47 @@
 /* Deviations over the mean latency within which nearly all calls end (Jacobson 1988 uses 4). */
 #define CERTAIN_DEVIATIONS 3
 
+/* Distances of the bands of ph_order_urgency: longer than any deadline within a band. */
+#define PRIORITY_BAND (100000 * PH_SECOND)
+#define LATE_BAND (256 * PRIORITY_BAND)
+
 PhTime
-ph_order_start_by (void *user, PhTime now, PhTime start_by)
+ph_order_start_by (void *user, const PhCall *call, PhTime now, PhTime start_by)
 {
   (void)user;
+  (void)call;
   (void)now;
   return start_by;
 }
 
 PhTime
-ph_order_first_in (void *user, PhTime now, PhTime start_by)
+ph_order_first_in (void *user, const PhCall *call, PhTime now, PhTime start_by)
 {
   (void)user;
+  (void)call;
   (void)start_by;
   return now;
 }
 
 PhTime
-ph_order_last_in (void *user, PhTime now, PhTime start_by)
+ph_order_last_in (void *user, const PhCall *call, PhTime now, PhTime start_by)
 {
   (void)user;
+  (void)call;
   (void)start_by;
   return -now;
 }
 
+PhTime
+ph_order_urgency (void *user, const PhCall *call, PhTime now, PhTime start_by)
+{
+  PhTime key = start_by + call->priority * PRIORITY_BAND;
+
+  (void)user;
+  (void)now;
+  return call->is_late ? key + LATE_BAND : key;
+}
+
 /* Limits that operators set for the version of an upstream, or NULL. */
 static const PhVersionRule *
 rule_of (const PhWorld *world, const PhUpstream *upstream)
@@ -145,7 +162,7 @@
 ph_admission_init (PhContext *ctx, PhWorld *world)
 {
   world->admission.policy = (PhAdmissionPolicy){ .adapt = ph_limit_gradient,
-                                                 .order = ph_order_start_by,
+                                                 .order = ph_order_urgency,
                                                  .drops_early = true };
   world->admission.queue_timer_at = PH_TIME_NEVER;
   ph_admission_reset (ctx, world);
@@ -242,6 +259,50 @@
   return (PhWaitEntry){ attempt->queue_key, attempt->queued_at, id.v };
 }
 
+/* Latest start with which a call is expected to meet its objective. */
+static PhTime
+useful_start (const PhContext *ctx, const PhWorld *world, const PhCall *call)
+{
+  if (call->objective_at == PH_TIME_NEVER)
+    return PH_TIME_NEVER;
+  return call->objective_at - ph_limit_latency (&world->admission.limit, ctx->now, 0);
+}
+
+/* Sets the place of an attempt in the queue. */
+static void
+set_key (PhContext *ctx, PhWorld *world, PhAttemptId id, PhTime start_by)
+{
+  const PhAdmissionPolicy *policy = &world->admission.policy;
+  PhAttempt *attempt = ph_attempt_get (&world->attempts, id);
+  PhCall *call = ph_call_get (&world->calls, attempt->call);
+  PhTime useful_by = useful_start (ctx, world, call);
+
+  call->is_late = useful_by < ctx->now;
+  attempt->queue_key = policy->order (policy->order_user, call, ctx->now,
+                                      call->is_late ? start_by : earlier (start_by, useful_by));
+}
+
+/* Moves an attempt that can no longer meet its objective behind those that can. Returns false when
+ * it keeps its place. */
+static bool
+move_late (PhContext *ctx, PhWorld *world, PhAttemptId id)
+{
+  PhAdmission *admission = &world->admission;
+  PhAttempt *attempt = ph_attempt_get (&world->attempts, id);
+  PhCall *call = ph_call_get (&world->calls, attempt->call);
+  PhWaitEntry entry = entry_of (attempt, id);
+
+  if (call->is_late || admission->queued < 2 || useful_start (ctx, world, call) >= ctx->now)
+    return false;
+  ph_waitqueue_remove (&admission->queue, &entry);
+  set_key (ctx, world, id,
+           earlier (latest_start (ctx, world, call->deadline, true),
+                    end_of_queue_time (world, attempt)));
+  entry = entry_of (attempt, id);
+  ph_waitqueue_add (&admission->queue, &entry);
+  return true;
+}
+
 static void
 arm_queue_timer (PhWorld *world, PhTime at)
 {
@@ -267,7 +328,7 @@
   attempt->queued_at = ctx->now;
   start_by = earlier (latest_start (ctx, world, call->deadline, true),
                       end_of_queue_time (world, attempt));
-  attempt->queue_key = admission->policy.order (admission->policy.order_user, ctx->now, start_by);
+  set_key (ctx, world, id, start_by);
   entry = entry_of (attempt, id);
   wait = expected_wait (ctx, world, ph_waitqueue_rank (&admission->queue, &entry));
   if (admission->policy.drops_early && wait > 0 && (double)ctx->now + wait > (double)start_by)
@@ -525,6 +586,8 @@
       PhAttempt *attempt = ph_attempt_get (&world->attempts, id);
       PhReason reason = refusal_of (ctx, world, attempt);
 
+      if (reason == PH_REASON_NONE && move_late (ctx, world, id))
+        continue;
       if (reason != PH_REASON_NONE)
         ph_attempt_fail (ctx, world, id, PH_RUN_NO, reason);
       else if (admission->in_flight < ph_admission_limit (ctx, world)
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -165,6 +165,8 @@
     return PH_REASON_DEPTH;
   if (opts->origin == PH_ORIGIN_PEER)
     return check_pinned (world, opts, service_id);
+  if (world->is_closed)
+    return PH_REASON_STOPPING;
   if (service == NULL || !service->is_configured)
     return PH_REASON_UNKNOWN_SERVICE;
   return PH_REASON_NONE;
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -97,6 +97,16 @@
 
   fresh.is_fresh = move->is_fresh;
   fresh.sends_left = move->sends_left;
+  /* A node that learned of a move with a duration late may take an earlier revision for its order;
+   * a flag of the right one then corrects it, and the object still holds. */
+  if (move->has_object && move->spec.duration != 0)
+    {
+      fresh.has_object = true;
+      fresh.spec = move->spec;
+      fresh.begun_at = move->begun_at;
+      fresh.object_revision = move->object_revision;
+      fresh.is_open_written = move->is_open_written;
+    }
   memcpy (fresh.path, move->path, sizeof fresh.path);
   *move = fresh;
   while ((at = ph_evidence_next (&world->evidence, at)).v != 0)
@@ -185,8 +195,11 @@
 
   if (move == NULL)
     return;
-  if (!move->has_object)
-    move->begun_at = ctx->now;
+  if (!move->has_object || !is_same_order (&move->spec, &object->spec.move))
+    {
+      move->begun_at = ctx->now;
+      move->is_open_written = false;
+    }
   move->object_revision = object->revision;
   move->has_object = !object->is_deleted;
   move->spec = object->spec.move;
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -206,6 +206,12 @@
   ph_member_self_changed (ctx, world);
 }
 
+void
+ph_world_close (PhWorld *world)
+{
+  world->is_closed = true;
+}
+
 bool
 ph_world_is_idle (const PhWorld *world)
 {
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -152,6 +152,7 @@
 
   (void)events;
   ph_node_touch (node);
+  ph_world_close (node->world);
   is_late = node->ctx.now >= node->stop_at + node->settings.stop_seconds * PH_SECOND;
   if (is_late)
     ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_STOP, NULL, "stopping with %u calls open",
