Weigh the slowness that upstreams tell in the choice

Cause: a quarter of the VMs works four times slower for about 300 ms at a time; calls went there by turns. Change: the fourth load figure rides on responses; a choice multiplies the latency by it, aged with a half-life of 200 ms.

--- a/include/pollenhitch/admission.h
+++ b/include/pollenhitch/admission.h
@@ -54,6 +54,7 @@
   bool was_out;                /* the data centre was out of service */
   bool is_marked;              /* the admission system has to run */
   uint32_t slowness;           /* last told by the upstream, see PhLoad */
+  PhTime slowness_at;
 } PhAdmission;
 
 /* ph_admission_init: set the default policy. Run by ph_world_new. */
@@ -91,6 +92,9 @@
 /* ph_admission_cold_told: the upstream itself says how long it stays cold; 0 when it is warm. */
 void ph_admission_cold_told (PhContext *ctx, PhWorld *world, PhTime left);
 
+/* ph_admission_slowness_told: how slow the VM of the local upstream is now, see PhLoad. */
+void ph_admission_slowness_told (const PhContext *ctx, PhWorld *world, uint32_t slowness);
+
 /* ph_admission_load: what to report on responses and refusals. */
 PhLoad ph_admission_load (const PhWorld *world);
 
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -95,6 +95,13 @@
   return service != NULL ? service->rules.cold_per_s : 0;
 }
 
+void
+ph_admission_slowness_told (const PhContext *ctx, PhWorld *world, uint32_t slowness)
+{
+  world->admission.slowness = slowness;
+  world->admission.slowness_at = ctx->now;
+}
+
 /* The upstream may be cold: keeps to the rate until it says that it is not. */
 static void
 assume_cold (PhContext *ctx, PhWorld *world)
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -36,6 +36,11 @@
  */
 #define FAILURE_FACTOR 10
 
+/* Neighbours of a VM come and go in a few tenths of a second. Without news an upstream is taken to
+ * be as slow as they are on average. */
+#define SLOWNESS_HALF_LIFE (200.0 * PH_MS)
+#define SLOWNESS_USUAL 150.0
+
 #define LATENCY_WEIGHT 0.2
 #define LATENCY_DEFAULT_US 1000.0
 
@@ -305,6 +310,21 @@
   return exp2 (-half_lives);
 }
 
+/* Time that work takes at an upstream now, as a multiple of the usual, from what it last told. It
+ * changes several times a second, so that an old report says little. */
+static double
+slowness_of (const PhContext *ctx, const PhWorld *world, const PhUpstream *upstream)
+{
+  uint32_t told = upstream->is_local ? world->admission.slowness : upstream->load.slowness;
+  PhTime at = upstream->is_local ? world->admission.slowness_at : upstream->load_at;
+  double weight;
+
+  if (told == 0)
+    return 1;
+  weight = exp2 (-(double)(ctx->now - at) / SLOWNESS_HALF_LIFE);
+  return (told * weight + SLOWNESS_USUAL * (1 - weight)) / 100;
+}
+
 static double
 aged_latency (const PhContext *ctx, const PhService *service, const PhUpstream *upstream)
 {
@@ -351,7 +371,7 @@
                 const PhUpstream *upstream)
 {
   uint32_t tier = upstream->service_class / 2;
-  double cost = aged_latency (ctx, service, upstream)
+  double cost = aged_latency (ctx, service, upstream) * slowness_of (ctx, world, upstream)
                 * (1 + WAIT_AT_LIMIT * pressure_of (ctx, world, upstream));
 
   if (tier == PH_TIER_REGION)
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -162,7 +162,7 @@
 
   dialect->read_response (dialect->user, node, exchange, forward->transfer, status, &own);
   if (own.slowness != 0)
-    node->world->admission.slowness = own.slowness;
+    ph_admission_slowness_told (&node->ctx, node->world, own.slowness);
   head->is_own = own.is_own;
   head->is_refusal = !own.is_run || own.reject != PH_REASON_NONE;
   head->run = own.is_run ? PH_RUN_YES : PH_RUN_NO;
