Fetch large responses from the nearest data centre that has room

Change: a bulk call takes the nearest tier whose cheaper candidate has fewer calls waiting than running.

--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -41,6 +41,10 @@
 #define SLOWNESS_HALF_LIFE (200.0 * PH_MS)
 #define SLOWNESS_USUAL 150.0
 
+/* A large response is fetched from the nearest tier that has not as many calls waiting as running:
+ * its bytes cost more on the way than the wait. */
+#define BULK_PRESSURE 2.0
+
 #define LATENCY_WEIGHT 0.2
 #define LATENCY_DEFAULT_US 1000.0
 
@@ -490,6 +494,15 @@
   return first.id.v == 0 || second.cost < part * first.cost ? second : first;
 }
 
+/* Whether a call would not wait for long at an upstream. */
+static bool
+has_room (const PhContext *ctx, const PhWorld *world, PhUpstreamId id)
+{
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, id);
+
+  return upstream != NULL && pressure_of (ctx, world, upstream) < BULK_PRESSURE;
+}
+
 /* Two of each tier, so that a near upstream is always compared with others. */
 static PhUpstreamId
 choose_eligible (
@@ -509,6 +522,8 @@
       second = draw_current (ctx, world, service, call, class, first);
       in_tier = cheaper (price (ctx, world, service, first), price (ctx, world, service, second),
                          TURN_MARGIN);
+      if (call->is_bulk && has_room (ctx, world, in_tier.id))
+        return best.id.v != 0 ? best.id : in_tier.id;
       best = cheaper (best, in_tier, TIER_MARGIN);
     }
   return best.id;
