--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -27,7 +27,7 @@
  * their own. Small differences are noise in stale reports, and turns spread calls more evenly than
  * chance. */
 #define TURN_MARGIN 0.8
-#define TIER_MARGIN 0.85
+#define TIER_MARGIN 0.7
 
 /* Expected wait at a full upstream, as a part of its latency. */
 #define WAIT_AT_LIMIT 0.5
