--- a/include/pollenhitch/upstream.h
+++ b/include/pollenhitch/upstream.h
@@ -108,6 +108,7 @@
   uint32_t queue_ms;          /* longest wait in the queue beside an upstream */
   uint32_t retry_percent;     /* retries as a share of calls */
   uint32_t probes_per_minute; /* for the whole service */
+  uint32_t slot_percent;      /* part of the announced slots that is used; 0 for all */
   double cold_per_s;          /* calls a second that a cold upstream bears; 0: not known */
   PhTime cold_time;           /* how long an upstream stays cold after its start */
   uint32_t connections_max;   /* of an upstream, from all callers; 0: as announced */
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -75,7 +75,9 @@
 max_of (const PhWorld *world, const PhUpstream *upstream)
 {
   const PhVersionRule *rule = rule_of (world, upstream);
-  uint32_t max = upstream->slots;
+  const PhServiceRules *rules = &ph_service_get (&world->services, upstream->service)->rules;
+  uint32_t max
+      = rules->slot_percent != 0 ? upstream->slots * rules->slot_percent / 100 : upstream->slots;
 
   if (upstream->connections > 0 && upstream->connections < max)
     max = upstream->connections;
