Keep the limit beside an upstream of the platform at its slots

Cause: the gradient limit takes the latency of a VM with busy neighbours for overload and gives slots away. Change: the limit's function is an option of the world; the platform's adapter sets the fixed one; sheds still lower it.

--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -63,6 +63,8 @@
   const char *service; /* of the local upstream, when it is known from settings, or NULL */
   PhObjectDecodeFunc decode;
   void *decode_user;
+  PhLimitFunc adapt; /* of the local upstream's limit; NULL for ph_limit_gradient */
+  void *adapt_user;
   PhChooseFunc choose; /* NULL for ph_choose_two */
   void *choose_user;
 } PhWorldOptions;
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -127,6 +127,11 @@
   if (world->data_centre.v == 0)
     goto fail;
   ph_admission_init (ctx, world);
+  if (opts->adapt != NULL)
+    {
+      world->admission.policy.adapt = opts->adapt;
+      world->admission.policy.adapt_user = opts->adapt_user;
+    }
   ph_probe_init (ctx, world);
   if (!start_member (ctx, world, opts, err))
     goto fail;
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -216,6 +216,7 @@
                           .calls = (uint32_t)settings->calls,
                           .announce_ttl = settings->announce_ttl_ms * PH_MS,
                           .service = adapter->service,
+                          .adapt = adapter->adapt,
                           .decode = adapter->decode != NULL ? adapter->decode : ph_object_decode,
                           .decode_user = adapter->decode_user };
 
