--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -67,6 +67,8 @@
   PH_REASON_NO_CONFIGURATION, /* no routes are in force yet */
   PH_REASON_OBJECTIVE,        /* would start too late to be of use, and others wait */
   PH_REASON_COLD,             /* the upstream is cold and gets only so many calls a second */
+  PH_REASON_UPSTREAM_ERROR,   /* the upstream answered that it failed; tried again elsewhere */
+  PH_REASON_SLOW,             /* the upstream's VM is slow now, and others are left to choose */
   PH_REASON_COUNT
 } PhReason;
 
@@ -205,6 +207,14 @@
  */
 bool ph_attempt_response (PhContext *ctx, PhWorld *world, PhAttemptId id);
 
+/*
+ * ph_attempt_should_rerun: whether a response that says that the upstream failed is better dropped.
+ *
+ * True for a call that may be repeated, when another upstream may be tried and there is time and
+ * budget for it. The runtime then calls ph_attempt_fail instead of ph_attempt_response.
+ */
+bool ph_attempt_should_rerun (const PhContext *ctx, const PhWorld *world, PhAttemptId id);
+
 /*
  * ph_attempt_fail: an attempt ended without a response that can be passed on.
  *
--- a/include/pollenhitch/retry.h
+++ b/include/pollenhitch/retry.h
@@ -41,6 +41,9 @@
 /* ph_retry_take: take the tokens of one extra attempt, or return false and take none. */
 bool ph_retry_take (PhRetryBudget *budget, PhRetryKind kind);
 
+/* ph_retry_has: whether ph_retry_take would take the tokens. */
+bool ph_retry_has (const PhRetryBudget *budget, PhRetryKind kind);
+
 /* ph_retry_observe: an attempt took latency microseconds to its response, or was given up then. */
 void ph_retry_observe (PhRetryBudget *budget, PhTime latency);
 
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -25,6 +25,7 @@
 {
   AFTER_FINAL,  /* another upstream would answer the same */
   AFTER_BUSY,   /* another upstream may have room */
+  AFTER_OTHER,  /* another upstream is better now; says nothing against this one */
   AFTER_STALE,  /* the choice was made on old state; the refusal corrects it */
   AFTER_BROKEN, /* the upstream cannot be reached */
 } AfterReason;
@@ -61,6 +62,8 @@
   [PH_REASON_NO_CONFIGURATION] = { "no-configuration", 503, AFTER_FINAL },
   [PH_REASON_OBJECTIVE] = { "objective", 503, AFTER_BUSY },
   [PH_REASON_COLD] = { "cold", 503, AFTER_BUSY },
+  [PH_REASON_UPSTREAM_ERROR] = { "upstream-error", 502, AFTER_BUSY },
+  [PH_REASON_SLOW] = { "slow", 503, AFTER_OTHER },
 };
 
 static const char *const run_names[] = { "no", "yes", "unknown" };
@@ -492,12 +495,29 @@
   if (call->run != PH_RUN_NO)
     return call->is_idempotent && !call->is_rerun
            && ph_retry_take (&service->retry, PH_RETRY_RERUN);
-  /* Free: the refusal has taken the upstream out of the choice, so there are few of these. */
-  if (reasons[call->reason].after == AFTER_STALE)
+  /* Free: the refusal has taken the upstream out of the choice, so there are few of these, or the
+   * node beside it refuses so only while others are left. */
+  if (reasons[call->reason].after == AFTER_STALE || reasons[call->reason].after == AFTER_OTHER)
     return true;
   return ph_retry_take (&service->retry, PH_RETRY_NOT_RUN);
 }
 
+bool
+ph_attempt_should_rerun (const PhContext *ctx, const PhWorld *world, PhAttemptId id)
+{
+  const PhAttempt *attempt = ph_attempt_get (&world->attempts, id);
+  const PhCall *call = attempt != NULL ? ph_call_get (&world->calls, attempt->call) : NULL;
+  const PhService *service;
+
+  if (call == NULL || call->origin != PH_ORIGIN_CALLER || call->state != PH_CALL_TRYING
+      || !call->is_idempotent || call->is_rerun || call->open_attempts > 1 || !may_resend (call))
+    return false;
+  service = ph_service_get (&world->services, call->service);
+  return service->upstream_count > call->tried_count
+         && (double)ph_call_time_left (ctx, call) > service->latency_us
+         && ph_retry_has (&service->retry, PH_RETRY_RERUN);
+}
+
 static PhAttemptId
 add_attempt (PhContext *ctx, PhWorld *world, PhCallId call_id, PhUpstreamId upstream_id)
 {
--- a/source/core/retry.c
+++ b/source/core/retry.c
@@ -41,6 +41,13 @@
   fill (&budget->hedge, share / PART_OF_SHARE / (depth + 1));
 }
 
+bool
+ph_retry_has (const PhRetryBudget *budget, PhRetryKind kind)
+{
+  return budget->all >= COST && (kind != PH_RETRY_RERUN || budget->rerun >= COST)
+         && (kind != PH_RETRY_HEDGE || budget->hedge >= COST);
+}
+
 bool
 ph_retry_take (PhRetryBudget *budget, PhRetryKind kind)
 {
@@ -48,7 +55,7 @@
                    : kind == PH_RETRY_HEDGE ? &budget->hedge
                                             : NULL;
 
-  if (budget->all < COST || (part != NULL && *part < COST))
+  if (!ph_retry_has (budget, kind))
     return false;
   budget->all -= COST;
   if (part != NULL)
