Send calls on while a VM is slow; keep the word on it fresh by health checks

Ruled out: gossip of load (3 KB/s a node); a longer wait for a better choice (it is the knowledge that is old).

--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -102,6 +102,7 @@
   uint8_t priority;     /* 0 is the most urgent */
   bool is_late;         /* waits, and is expected to miss its objective */
   uint8_t attempts_max; /* upstreams that the call may reach */
+  bool has_others;      /* of a call from another node: it may go to other upstreams */
   uint8_t arrivals;     /* attempts that reached an upstream */
   uint8_t tried_count;
   uint8_t open_attempts;
@@ -162,6 +163,7 @@
   uint32_t route;         /* see ph_move_route */
   PhServiceId service_id; /* used instead of service when it is not 0 */
   bool is_bulk;
+  bool has_others; /* of a call from another node: it may be refused for others' sake */
   uint32_t priority;
   uint32_t attempts_max;   /* 0 for PH_TRIED_MAX */
   PhTime objective;        /* time until the response is of little use; 0 for none */
@@ -179,6 +181,10 @@
 PhCallId
 ph_call_open (PhContext *ctx, PhWorld *world, const PhCallOptions *opts, PhRefusal *refusal);
 
+/* ph_call_has_others: whether a call that is refused by the node it is sent to has another upstream
+ * to go to, so that the refusal costs it little. */
+bool ph_call_has_others (const PhWorld *world, const PhCall *call);
+
 /* ph_call_abort: the caller went away. Cancels the attempts and frees the call; no refusal is
  * sent. */
 void ph_call_abort (PhContext *ctx, PhWorld *world, PhCallId id);
--- a/include/pollenhitch/choice.h
+++ b/include/pollenhitch/choice.h
@@ -31,6 +31,9 @@
 PhUpstreamId ph_choose_round_robin (
     void *user, PhContext *ctx, PhWorld *world, PhService *service, const PhCall *call);
 
+/* ph_choice_count: upstreams that may be chosen now, of all versions. */
+uint32_t ph_choice_count (const PhService *service);
+
 /* ph_choice_allowed: whether a call may be sent to this upstream when others are not suspended. */
 bool ph_choice_allowed (const PhContext *ctx,
                         const PhWorld *world,
--- a/include/pollenhitch/fields.h
+++ b/include/pollenhitch/fields.h
@@ -20,6 +20,7 @@
 #define PH_FIELD_LOAD "Pollenhitch-Load"
 #define PH_FIELD_PRIORITY "Pollenhitch-Priority"
 #define PH_FIELD_OBJECTIVE "Pollenhitch-Objective-Ms"
+#define PH_FIELD_OTHERS "Pollenhitch-Others"
 #define PH_FIELD_CALLER "Pollenhitch-Caller"
 
 #define PH_CALL_ID_TEXT (PH_CALL_ID_SIZE * 2 + 1)
--- a/include/pollenhitch/probe.h
+++ b/include/pollenhitch/probe.h
@@ -69,6 +69,14 @@
  */
 void ph_probe_want (PhContext *ctx, PhWorld *world);
 
+/*
+ * ph_probe_refresh: a call is about to be placed at the local upstream.
+ *
+ * Sends a health check when the upstream tells how slow it is and its last word
+ * on that is old, within this node's part of the budget.
+ */
+void ph_probe_refresh (PhContext *ctx, PhWorld *world);
+
 /* ph_probe_note: an attempt at the local upstream ended. */
 void ph_probe_note (PhContext *ctx, PhWorld *world, PhOutcome outcome);
 
--- a/include/pollenhitch/registration.h
+++ b/include/pollenhitch/registration.h
@@ -66,6 +66,7 @@
   bool is_healthy;      /* it serves and is not leaving */
   const char *instance; /* NULL when it does not tell */
   PhTime cold_left;     /* negative when it does not tell */
+  uint32_t slowness;    /* see PhLoad; 0 when it does not tell */
 } PhHealth;
 
 PhHeartbeatResult ph_registration_heartbeat (PhContext *ctx,
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -14,6 +14,10 @@
  * back at once, so sheds alone are left to the limit, which recovers faster than a cold start. */
 #define COLD_SHARE (1.0 / 3)
 
+/* A call is sent on when the VM was told to take this part of the usual time within this age. */
+#define SLOW_PERCENT 200
+#define SLOWNESS_FRESH (150 * PH_MS)
+
 /* An attempt that is cancelled after this multiple of the usual latency without the head of a
  * response counts as an error. An upstream that hangs shows only cancelled attempts. */
 #define LATE_FACTOR 4
@@ -321,6 +325,17 @@
     world->admission.queue_timer_at = at;
 }
 
+/* Whether a call that has other upstreams to go to is better off there: this one's VM is slow now,
+ * or the call would wait. The node that chose it could not know. */
+static bool
+is_better_elsewhere (const PhContext *ctx, const PhWorld *world)
+{
+  const PhAdmission *admission = &world->admission;
+
+  return (admission->slowness >= SLOW_PERCENT && ctx->now - admission->slowness_at < SLOWNESS_FRESH)
+         || admission->in_flight + admission->queued >= ph_admission_limit (ctx, world);
+}
+
 PhReason
 ph_admission_enqueue (PhContext *ctx, PhWorld *world, PhAttemptId id)
 {
@@ -334,6 +349,9 @@
 
   if (reason != PH_REASON_NONE)
     return reason;
+  ph_probe_refresh (ctx, world);
+  if (call->has_others && is_better_elsewhere (ctx, world))
+    return PH_REASON_SLOW;
   attempt->queued_at = ctx->now;
   start_by = earlier (latest_start (ctx, world, call->deadline, true),
                       end_of_queue_time (world, attempt));
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -15,6 +15,9 @@
 
 #define ATTEMPTS_OPEN_MAX 2
 
+/* Upstreams that may send a call on, so that it is not passed around while all are slow. */
+#define REDIRECTS_MAX 2
+
 /* A refused caller is asked back within this part of the time that it has left: callers honour a
  * third of it at most. */
 #define RETRY_AFTER_PART 4
@@ -221,6 +224,7 @@
   call->depth = (uint8_t)opts->depth;
   call->route = (uint8_t)opts->route;
   call->is_bulk = opts->is_bulk;
+  call->has_others = opts->has_others;
   call->priority = (uint8_t)opts->priority;
   call->attempts_max
       = (uint8_t)(opts->attempts_max > 0 && opts->attempts_max < PH_TRIED_MAX ? opts->attempts_max
@@ -484,6 +488,15 @@
          && call->arrivals + call->open_attempts < call->attempts_max;
 }
 
+bool
+ph_call_has_others (const PhWorld *world, const PhCall *call)
+{
+  const PhService *service = ph_service_get (&world->services, call->service);
+
+  return !call->is_bulk && call->tried_count <= REDIRECTS_MAX && may_resend (call)
+         && ph_choice_count (service) > call->tried_count;
+}
+
 /* Whether another attempt is allowed after the earlier ones failed. Takes it from the budget. */
 static bool
 may_retry (PhWorld *world, const PhCall *call)
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -470,6 +470,12 @@
   return count;
 }
 
+uint32_t
+ph_choice_count (const PhService *service)
+{
+  return count_eligible (service, true) + count_eligible (service, false);
+}
+
 typedef struct
 {
   PhUpstreamId id; /* 0 for none */
--- a/source/core/probe.c
+++ b/source/core/probe.c
@@ -16,6 +16,11 @@
  * wanted is sent when the budget bears one a second of each of them. */
 #define OTHERS_UNCOUNTED 31
 #define WANTED_PER_MINUTE 60
+/* How slow a VM is changes in a few tenths of a second. Checks for it are only sent with a budget
+ * of this size, which leaves one a second for each of many upstreams. */
+#define REFRESH_AGE (60 * PH_MS)
+#define REFRESH_PER_MINUTE_MIN 600
+
 #define WANTED_DELAY (5 * PH_MS) /* for the announcement that follows a heartbeat */
 
 #define DOWN_TIME (5 * PH_SECOND)
@@ -274,6 +279,35 @@
   ph_timer_add (&world->timers, ctx->now + WANTED_DELAY, PH_TIMER_UPSTREAM_PROBE, 1);
 }
 
+/* Least time between two checks of this node when all nodes share the budget by the minute. Members
+ * that died count too, so that the parts of a split membership do not send more together. */
+static PhTime
+refresh_gap (const PhWorld *world)
+{
+  const PhService *service = ph_service_get (&world->services, world->probe.service);
+  uint32_t per_minute = service != NULL ? service->rules.probes_per_minute : 0;
+
+  return per_minute < REFRESH_PER_MINUTE_MIN ? PH_TIME_NEVER
+                                             : 60 * PH_SECOND * world->members.count / per_minute;
+}
+
+void
+ph_probe_refresh (PhContext *ctx, PhWorld *world)
+{
+  PhProbe *probe = &world->probe;
+  const PhAdmission *admission = &world->admission;
+  PhTime gap = refresh_gap (world);
+
+  if (admission->slowness == 0 || ctx->now - admission->slowness_at < REFRESH_AGE
+      || probe->open.v != 0 || gap == PH_TIME_NEVER || world->effects.send_probe == NULL
+      || (probe->sent_count > 0 && ctx->now - sent_before (probe, 1) < gap)
+      || admission->in_flight >= ph_admission_limit (ctx, world)
+      || ph_cold_rate_is_cold (&admission->cold_rate, ctx->now))
+    return;
+  probe->is_wanted = true;
+  send_probe (ctx, world);
+}
+
 static void
 mark_down (PhContext *ctx, PhWorld *world)
 {
--- a/source/core/registration.c
+++ b/source/core/registration.c
@@ -150,6 +150,8 @@
       reg->is_confirmed = true;
       world->admission.is_marked = true;
     }
+  if (health->slowness != 0)
+    ph_admission_slowness_told (ctx, world, health->slowness);
   if (health->is_healthy && health->cold_left >= 0)
     ph_admission_cold_told (ctx, world, health->cold_left);
 }
--- a/source/node/request.c
+++ b/source/node/request.c
@@ -91,6 +91,8 @@
   ph_request_add (request, PH_FIELD_REPEATABLE ": %s", call->is_idempotent ? "true" : "false");
   ph_request_add (request, PH_FIELD_UPSTREAM ": %" PRIu64, upstream->epoch);
   ph_request_add (request, PH_FIELD_CLOCK ": %" PRIu64, ph_clock_now (&node->ctx));
+  if (ph_call_has_others (world, call))
+    ph_request_add (request, PH_FIELD_OTHERS ": true");
   if (call->priority != 0)
     ph_request_add (request, PH_FIELD_PRIORITY ": %u", call->priority);
   if (call->objective_at != PH_TIME_NEVER)
@@ -236,6 +238,7 @@
       || !parse_field (connection, PH_FIELD_OBJECTIVE, DEADLINE_MS_MAX, &objective_ms))
     return false;
   opts->priority = (uint32_t)priority;
+  opts->has_others = field_of (connection, PH_FIELD_OTHERS) != NULL;
   /* An objective that has passed is not the same as none. */
   if (field_of (connection, PH_FIELD_OBJECTIVE) != NULL)
     opts->objective = objective_ms > 0 ? (PhTime)objective_ms * PH_MS : 1;
