--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -333,7 +333,7 @@
   const PhAdmission *admission = &world->admission;
 
   return (admission->slowness >= SLOW_PERCENT && ctx->now - admission->slowness_at < SLOWNESS_FRESH)
-         || admission->in_flight + admission->queued >= ph_admission_limit (ctx, world);
+         ;
 }
 
 PhReason
