Tell of large objects by stub; count a gap from its first difference

The configuration does not fit in a datagram, so a node pulls it when it sees a higher revision or a digest that has differed for 1.5 s. A younger evacuation had raised the revision, and each stage of a rollout put the comparison of digests off. Ruled out: a lost change in the store's client (the watch was cut at 2.2 s and the list read at once on all watchers). Change: a push names a large object's revision without its text, and a receiver that lacks it asks at once; the gap is counted from the first message that differs; the time of the last change is gone from the world.

--- a/include/pollenhitch/member.h
+++ b/include/pollenhitch/member.h
@@ -87,6 +87,7 @@
   bool is_deleted;
   const char *text;
   uint32_t size;
+  bool is_stub; /* the text does not fit in a datagram and is to be asked for */
 } PhMessageObject;
 
 #define PH_SYNC_BUCKETS 64
@@ -195,6 +196,7 @@
   /* Exchange of tables. */
   bool is_joined; /* one exchange has succeeded */
   bool is_sync_open;
+  PhTime gap_at;          /* since when the tables of others differ from this node's, 0 for not */
   uint32_t exchange;      /* number of the last exchange */
   PhTime sync_at;         /* next one by schedule */
   PhTime sync_started_at; /* of the last one */
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -111,7 +111,6 @@
   uint64_t config_revision;                /* highest applied */
   PhConfigList lists[PH_CONFIG_LISTS_MAX]; /* of the store that this node read */
   uint32_t list_count;
-  PhTime config_changed_at;
   uint32_t route_generation; /* rises with each set of routes */
   bool has_routes;           /* a set of routes is in force */
   PhCallerLimits caller_limits;
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -332,8 +332,8 @@
 {
   const PhAdmission *admission = &world->admission;
 
-  return (admission->slowness >= SLOW_PERCENT && ctx->now - admission->slowness_at < SLOWNESS_FRESH)
-         ;
+  return (admission->slowness >= SLOW_PERCENT
+          && ctx->now - admission->slowness_at < SLOWNESS_FRESH);
 }
 
 PhReason
--- a/source/core/config.c
+++ b/source/core/config.c
@@ -248,7 +248,6 @@
   row->revision = revision;
   row->is_deleted = is_deleted;
   toggle_digest (world, row);
-  world->config_changed_at = ctx->now;
   if (revision > world->config_revision)
     world->config_revision = revision;
   if (world->membership.is_joined && world->membership.fresh_objects.count < FRESH_MAX)
--- a/source/core/gossip.c
+++ b/source/core/gossip.c
@@ -185,22 +185,25 @@
     }
 }
 
-/* An object that is too large for any datagram takes no room: the receiver sees the higher revision
- * in the message and pulls it. */
+/* An object that is too large for any datagram goes without its text: a receiver that lacks the
+ * revision asks for it. */
 static bool
 add_object (PhOutbox *out, const PhObjectRow *row)
 {
   uint32_t bytes = object_bytes (row);
+  bool is_stub = bytes > PH_DATAGRAM_MAX - PH_DATAGRAM_HEADER;
 
-  if (bytes > PH_DATAGRAM_MAX - PH_DATAGRAM_HEADER)
-    return true;
+  if (is_stub)
+    bytes -= row->text_size;
   if (out->message.object_count == PH_MESSAGE_OBJECTS_MAX || out->bytes + bytes > out->limit)
     return false;
-  out->objects[out->message.object_count++] = (PhMessageObject){ .path = row->path,
-                                                                 .revision = row->revision,
-                                                                 .is_deleted = row->is_deleted,
-                                                                 .text = row->text,
-                                                                 .size = row->text_size };
+  out->objects[out->message.object_count++]
+      = (PhMessageObject){ .path = row->path,
+                           .revision = row->revision,
+                           .is_deleted = row->is_deleted,
+                           .text = is_stub ? "" : row->text,
+                           .size = is_stub ? 0 : row->text_size,
+                           .is_stub = is_stub };
   out->bytes += bytes;
   return true;
 }
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -399,7 +399,7 @@
 }
 
 static void
-merge_content (PhContext *ctx, PhWorld *world, const PhMessage *message)
+merge_content (PhContext *ctx, PhWorld *world, const PhMessage *message, PhMemberId sender)
 {
   PhError err;
 
@@ -409,6 +409,14 @@
     {
       const PhMessageObject *object = &message->objects[i];
 
+      if (object->is_stub)
+        {
+          const PhObjectRow *row = ph_config_find (world, object->path);
+
+          if (row == NULL || row->revision < object->revision)
+            ph_sync_start (ctx, world, sender);
+          continue;
+        }
       ph_config_apply (ctx, world, object->path, object->revision,
                        object->is_deleted ? NULL : object->text, object->size, &err);
     }
@@ -449,7 +457,7 @@
       ph_swim_unknown (ctx, world, message);
       return;
     }
-  merge_content (ctx, world, message);
+  merge_content (ctx, world, message, sender);
   if (message->evidence != NULL)
     ph_move_merge_evidence (ctx, world, sender, message->evidence);
   ph_swim_receive (ctx, world, message, sender);
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -312,7 +312,6 @@
     }
   if (!is_changed)
     return;
-  world->config_changed_at = ctx->now;
   ph_gossip_move (ctx, world, id);
   ph_timer_add (&world->timers, ctx->now, PH_TIMER_MOVE, id.v);
 }
@@ -615,7 +614,6 @@
     set_stage (ctx, move, stage + 1, calls);
   if (!move->is_bad && move->stage == stage)
     return;
-  world->config_changed_at = ctx->now;
   ph_gossip_move (ctx, world, id);
 }
 
--- a/source/core/sync.c
+++ b/source/core/sync.c
@@ -9,7 +9,7 @@
 #define SYNC_GAP (200 * PH_MS)
 
 /* A digest that differs is a gap only when the change had time to spread. */
-#define SPREAD_TIME (1500 * PH_MS)
+#define SPREAD_TIME PH_SECOND
 
 #define ROW_BYTES 512 /* bound on an encoded member record or on an object without its text */
 
@@ -347,10 +347,16 @@
 void
 ph_sync_compare (PhContext *ctx, PhWorld *world, const PhMessage *message, PhMemberId sender)
 {
+  PhMembership *ms = &world->membership;
   bool is_behind = message->config_revision > world->config_revision;
-  bool has_gap = message->config_digest != ph_config_digest (world)
-                 && ctx->now > world->config_changed_at + SPREAD_TIME;
-
-  if (is_behind || has_gap)
+  bool differs = message->config_digest != ph_config_digest (world);
+
+  /* Counted from the first message that differs: later changes, which may go on for long, do not
+   * put the exchange off. */
+  if (!differs)
+    ms->gap_at = 0;
+  else if (ms->gap_at == 0)
+    ms->gap_at = ctx->now;
+  if (is_behind || (differs && ctx->now > ms->gap_at + SPREAD_TIME))
     ph_sync_start (ctx, world, sender);
 }
--- a/source/wire/control.c
+++ b/source/wire/control.c
@@ -91,8 +91,9 @@
 {
   *x = (ph_x_object){ .path = (char *)object->path,
                       .revision = object->revision,
-                      .is_deleted = object->is_deleted };
-  x->text.text_len = object->is_deleted ? 0 : object->size;
+                      .is_deleted = object->is_deleted,
+                      .is_stub = object->is_stub };
+  x->text.text_len = object->is_deleted || object->is_stub ? 0 : object->size;
   x->text.text_val = (char *)object->text;
 }
 
@@ -414,10 +415,11 @@
       out->objects[i] = (PhMessageObject){ .path = x->path,
                                            .revision = x->revision,
                                            .is_deleted = x->is_deleted,
+                                           .is_stub = x->is_stub,
                                            .text = x->text.text_val,
                                            .size = x->text.text_len };
       /* An empty text is never a valid object, and would be taken for a deletion. */
-      if (x->path[0] == '\0' || (!x->is_deleted && x->text.text_len == 0))
+      if (x->path[0] == '\0' || (!x->is_deleted && !x->is_stub && x->text.text_len == 0))
         return false;
     }
   out->message.record_count = records;
--- a/source/wire/control.x
+++ b/source/wire/control.x
@@ -37,6 +37,7 @@
   string path<159>;
   unsigned hyper revision;
   bool is_deleted;
+  bool is_stub;
   opaque text<1048576>;
 };
 
--- a/source/wire/control_xdr.c
+++ b/source/wire/control_xdr.c
@@ -133,6 +133,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_deleted))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_stub))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
 		 return FALSE;
 	return TRUE;
--- a/source/wire/control_xdr.h
+++ b/source/wire/control_xdr.h
@@ -43,6 +43,7 @@
 	char *path;
 	u_quad_t revision;
 	bool_t is_deleted;
+	bool_t is_stub;
 	struct {
 		u_int text_len;
 		char *text_val;
--- a/tests/fuzz/control.c
+++ b/tests/fuzz/control.c
@@ -33,8 +33,8 @@
 static const PhMemberRecord *const records[] = { &record, &record };
 #define TEXT "{\"kind\":\"service\",\"spec\":{\"deadline_ms\":70}}"
 static const PhMessageObject objects[] = {
-  { "/teams/a/services/x", 8, false, TEXT, sizeof TEXT - 1 },
-  { "/teams/a/services/y", 9, true, NULL, 0 },
+  { "/teams/a/services/x", 8, false, TEXT, sizeof TEXT - 1, false },
+  { "/teams/a/services/y", 9, true, NULL, 0, false },
 };
 static const PhMoveFlag moves[] = { { "/teams/a/moves/m", 10, 3, PH_MOVE_REASON_SLOW, 7, true } };
 static const PhMoveEvidence evidence
@@ -138,7 +138,7 @@
                   .sync = is_sync ? &sync_part : NULL,
                   .record_count = 2,
                   .records = records,
-                  .object_count = 2,
+                  .object_count = 3,
                   .objects = objects,
                   .move_count = 1,
                   .moves = moves,
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -24,8 +24,9 @@
                                        .connections = 200 };
 static const PhMemberRecord *const records[] = { &record };
 static const PhMessageObject objects[] = {
-  { "/teams/a/services/x", 8, false, "{}", 2 },
-  { "/teams/a/services/y", 9, true, NULL, 0 },
+  { "/teams/a/services/x", 8, false, "{}", 2, false },
+  { "/teams/a/services/y", 9, true, NULL, 0, false },
+  { "/teams/a/services/z", 10, false, "", 0, true },
 };
 static const PhMoveFlag moves[] = {
   { "/teams/a/moves/m", 10, 3, PH_MOVE_REASON_SLOW, 7, true },
@@ -58,7 +59,7 @@
                   .target_epoch = 11,
                   .record_count = 1,
                   .records = records,
-                  .object_count = 2,
+                  .object_count = 3,
                   .objects = objects,
                   .move_count = 2,
                   .moves = moves,
@@ -113,6 +114,8 @@
       CU_ASSERT_EQUAL (in.message.objects[0].size, 2);
       CU_ASSERT_TRUE (in.message.objects[1].is_deleted);
       CU_ASSERT_EQUAL (in.message.objects[1].revision, 9);
+      CU_ASSERT_TRUE (in.message.objects[2].is_stub);
+      CU_ASSERT_EQUAL (in.message.objects[2].revision, 10);
       CU_ASSERT_EQUAL (in.message.sync != NULL, is_sync ((PhMessageKind)kind));
       CU_ASSERT_STRING_EQUAL (in.message.moves[0].path, moves[0].path);
       CU_ASSERT_EQUAL (in.message.moves[0].reason, PH_MOVE_REASON_SLOW);
