Run moves with a duration in four stages by the clock

Ruled out: lost evidence (calls of the new version were counted); an earlier report (it followed within 0.4 s). Change: 5% of the calls for half of the duration, then 25%, 50%, all, and done at 0.85 of it, unless a test is in doubt; classes of response time by factors of two between 128 ms and 1 s.

--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -16,7 +16,7 @@
  */
 
 #define PH_MOVE_ROUTES 8
-#define PH_MOVE_TIMES 8        /* classes of response time, each four times the one before */
+#define PH_MOVE_TIMES 8        /* classes of response time */
 #define PH_MOVE_STAGES 8       /* with a share below 1; the stage after them is the end */
 #define PH_MOVE_DATAGRAM_MAX 4 /* flags in a datagram */
 #define PH_MOVES_MAX 64        /* moves that a node knows, and flags in an exchange */
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -42,6 +42,25 @@
 #define CONTROL_MIN 50 /* calls of the old version that a limit of response times needs */
 
 static const double shares[PH_MOVE_STAGES] = { 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 0.75 };
+/* Upper bounds of the classes of response time but the last. A factor of two where the calls of the
+ * deployments lie: with four, calls that are slowed eightfold and calls on a busy VM fall into one
+ * class. */
+static const PhTime class_limits[PH_MOVE_TIMES - 1]
+    = { 2 * PH_MS, 8 * PH_MS, 32 * PH_MS, 128 * PH_MS, 256 * PH_MS, 512 * PH_MS, 1024 * PH_MS };
+
+/* Shares of a move with a duration, and the part of the duration after which each ends. A platform
+ * bounds the calls that a bad version may get to a tenth of all, and a good one must have all calls
+ * in time, so that most of the time goes to a small share and the steps after it are short. All
+ * calls go to the new version for a tenth of the time before the move is reported as done: the old
+ * upstreams stop at the report, and their calls must have ended. */
+#define ORDER_STAGES 4
+
+static const struct
+{
+  double share;
+  double until;
+} order_stages[ORDER_STAGES] = { { 0.05, 0.5 }, { 0.25, 0.6 }, { 0.5, 0.7 }, { 1, 0.85 } };
+
 static const char *const reason_names[] = { "none", "failures", "slow", "deadline", "cancelled" };
 
 const char *
@@ -416,7 +435,7 @@
 {
   uint32_t class = 0;
 
-  for (PhTime limit = PH_MS; time >= limit && class + 1 < PH_MOVE_TIMES; limit *= 4)
+  while (class + 1 < PH_MOVE_TIMES && time >= class_limits[class])
     class ++;
   return class;
 }
@@ -495,7 +514,11 @@
   if (!move->has_object || move->is_waiting || outcome == PH_MOVE_TAKEN_BACK
       || !has_started (ctx, move))
     return 0;
-  return outcome == PH_MOVE_DONE ? 1 : shares[move->stage];
+  if (outcome == PH_MOVE_DONE)
+    return 1;
+  return move->spec.duration != 0
+             ? order_stages[move->stage < ORDER_STAGES ? move->stage : ORDER_STAGES - 1].share
+             : shares[move->stage];
 }
 
 PhMoveOutcome
@@ -592,6 +615,24 @@
   return whole / STAGE_PARTS;
 }
 
+/* Whether the present stage has lasted, and has seen, enough. */
+static bool
+is_stage_over (const PhContext *ctx, const PhMove *move, uint32_t calls)
+{
+  if (move->spec.duration != 0)
+    return move->stage < ORDER_STAGES && calls > 0
+           && (double)(ctx->now - move->begun_at)
+                  >= order_stages[move->stage].until * (double)move->spec.duration;
+  return ctx->now - move->stage_at >= stage_time (move) && calls >= move->stage_calls + STAGE_CALLS;
+}
+
+static uint32_t
+next_stage (const PhMove *move)
+{
+  return move->spec.duration != 0 && move->stage + 1 >= ORDER_STAGES ? PH_MOVE_STAGES
+                                                                     : move->stage + 1;
+}
+
 /* Beside an upstream of the new version: decides on the flag and on the next stage. */
 static void
 judge (PhContext *ctx, PhWorld *world, PhMoveId id)
@@ -609,9 +650,8 @@
     set_stage (ctx, move, stage, calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTES && !move->is_bad; i++)
     judge_route (ctx, move, i, &control[i], &counts[i]);
-  if (!move->is_bad && ctx->now - move->stage_at >= stage_time (move)
-      && calls >= move->stage_calls + STAGE_CALLS && !is_in_doubt (move))
-    set_stage (ctx, move, stage + 1, calls);
+  if (!move->is_bad && is_stage_over (ctx, move, calls) && !is_in_doubt (move))
+    set_stage (ctx, move, next_stage (move), calls);
   if (!move->is_bad && move->stage == stage)
     return;
   ph_gossip_move (ctx, world, id);
@@ -751,6 +791,6 @@
   else
     snprintf (text, PH_MOVE_TEXT_MAX,
               "stage %u of %d, %g%% of the calls: waits for %d calls of %s without doubt",
-              move->stage + 1, PH_MOVE_STAGES, shares[move->stage] * 100, STAGE_CALLS,
+              move->stage + 1, PH_MOVE_STAGES, ph_move_share (ctx, move) * 100, STAGE_CALLS,
               move->spec.to);
 }
