--- a/tests/e2e/platform.sh
+++ b/tests/e2e/platform.sh
@@ -59,7 +59,9 @@
 done
 run_bg platform "$build/standin-platform" --address "127.$block.$net.250" --port 7080 \
   --work-ms 20 "${flags[@]}"
-require "the platform starts" wait_until 5 curl -sf "http://$store/control/stats"
+# Without the second test, a platform of another run on the same address would do.
+is_started () { curl -sf "http://$store/control/stats" && kill -0 "${pid[platform]}" 2>/dev/null; }
+require "the platform starts" wait_until 5 is_started
 for i in 1 2 3 4 5 6; do start_platform_node $i; done
 
 check "no node is ready without a configuration" [ "$(is_ready 1 && echo ready)" = "" ]
--- /dev/null
+++ b/tests/fuzz/platform.c
@@ -0,0 +1,192 @@
+/*
+ * Reads mutated texts of the object platform: configuration, moves, heartbeats
+ * and answers of the store. Arguments: number of inputs, seed (default 1). The
+ * same arguments give the same inputs. The last line is "N passed, N failed".
+ *
+ * Guards against input that is read beyond its end, and against a record that is
+ * accepted though what it says is out of bounds.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform.h"
+
+#define INPUT_MAX 1024
+#define MUTATIONS_MAX 6
+#define COUNT(array) (sizeof (array) / sizeof *(array))
+
+static PlatformSettings settings = { .upstream = "10.0.0.1:80", .queue_ms = 250 };
+
+/* Whether what was read is in bounds, or the text was refused. */
+typedef bool (*ReadFunc) (const char *path, const char *text, size_t size);
+
+static bool
+read_object (const char *path, const char *text, size_t size)
+{
+  PhObject object = { 0 };
+  PhError err = { 0 };
+  bool is_ok = true;
+
+  ph_text_copy (object.path, sizeof object.path, path);
+  if (!platform_decode (&settings, text, size, &object, &err))
+    return err.code != PH_ERROR_NONE;
+  if (object.kind == PH_OBJECT_MOVE)
+    return object.spec.move.duration > 0 && object.spec.move.to[0] != '\0';
+  if (object.kind != PH_OBJECT_ROUTES)
+    return true;
+  for (uint32_t i = 0; i < object.spec.routes->route_count; i++)
+    {
+      const PhRouteSpec *route = &object.spec.routes->routes[i];
+
+      is_ok = is_ok && route->timeout > 0 && route->part_count >= 1
+              && route->part_count <= PH_ROUTE_PARTS_MAX && route->host[0] != '\0'
+              && route->prefix[0] == '/' && route->prefix[strlen (route->prefix) - 1] == '/';
+    }
+  ph_route_set_drop (object.spec.routes);
+  return is_ok;
+}
+
+static bool
+read_heartbeat (const char *path, const char *text, size_t size)
+{
+  char service[PH_NAME_MAX];
+  PhHeartbeat heartbeat;
+  json_t *body = NULL;
+  PhError err = { 0 };
+  bool is_ok
+      = platform_heartbeat_decode (&settings, path, text, size, &body, service, &heartbeat, &err);
+
+  is_ok = is_ok ? heartbeat.slots >= 1 && heartbeat.cold_left >= 0 && heartbeat.port == 80
+                      && heartbeat.version != NULL
+                : err.code != PH_ERROR_NONE;
+  json_decref (body);
+  return is_ok;
+}
+
+static void
+check_entry (void *user, const char *path, uint64_t revision, const char *text, size_t size)
+{
+  bool *is_ok = user;
+
+  *is_ok = *is_ok && path[0] == '/' && revision > 0 && (text != NULL || size == 0);
+}
+
+static bool
+read_answer (const char *path, const char *text, size_t size)
+{
+  static const PhStoreAction actions[]
+      = { PH_STORE_LIST, PH_STORE_WATCH, PH_STORE_GET, PH_STORE_REPLACE };
+  PhStoreDialect dialect;
+  bool is_ok = true;
+
+  platform_store_dialect (&settings, &dialect);
+  for (size_t i = 0; i < COUNT (actions); i++)
+    {
+      const PhStoreCall call = { .action = actions[i], .path = path };
+      const PhStoreResponse response = { .status = 200, .body = text, .size = size };
+      PhStoreAnswer answer;
+      PhError err = { 0 };
+
+      if (!dialect.decode (dialect.user, &call, &response, check_entry, &is_ok, &answer, &err)
+          && err.code == PH_ERROR_NONE)
+        return false;
+    }
+  return is_ok;
+}
+
+typedef struct
+{
+  ReadFunc read;
+  const char *path;
+  const char *text;
+} Seed;
+
+static const Seed seeds[] = {
+  { read_object, "/config/main",
+    "{\"spec\":{\"version\":\"00000007\",\"routes\":{\"r\":{\"host\":\"a.example\",\"pathPrefix\":"
+    "\"/p/\",\"kind\":\"safe\",\"timeout\":\"1200ms\",\"targetLatency\":\"400ms\",\"priority\":2,"
+    "\"trafficSplit\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+    "\"maxAttempts\":2}},\"services\":{\"s\":{\"healthPath\":\"/health\",\"maxConnections\":220,"
+    "\"cold\":\"3s\",\"coldPerS\":19.0}},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1,"
+    "\"idleTimeout\":\"15000ms\"}}}" },
+  { read_object, "/rollouts/s",
+    "{\"spec\":{\"service\":\"s\",\"targetVersion\":\"v2\",\"duration\":\"12s\"},\"status\":"
+    "{\"state\":\"running\",\"targetVersion\":\"v2\"},\"created\":8}" },
+  { read_object, "/evacuations/z", "{\"spec\":{},\"status\":null,\"created\":7}" },
+  { read_heartbeat, "i-7f3a91c2",
+    "{\"address\":\"10.0.0.1:80\",\"born\":1796394680036,\"info\":{\"service\":\"s\",\"version\":"
+    "\"v1\",\"zone\":\"z\",\"slots\":6},\"status\":{\"state\":\"ready\",\"sequence\":4,"
+    "\"coldLeft\":\"0ms\"}}" },
+  { read_answer, "/contacts/z",
+    "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":4,\"created\":3},\"spec\":{},"
+    "\"status\":"
+    "null}],\"morePages\":false,\"currentRev\":530}" },
+  { read_answer, "/config/main",
+    "{\"events\":[{\"deleted\":false,\"object\":{\"metadata\":{\"name\":\"main\",\"revision\":9},"
+    "\"spec\":{\"a\":1},\"status\":null}}],\"currentRev\":533}" },
+};
+
+static void
+mutate (PhRandom *random, char *text)
+{
+  static const char alphabet[] = "{}[]\":,0123456789.eE-+tnsm/ \\u\x80\xff";
+  size_t size = strlen (text);
+  size_t at = size > 0 ? ph_random_below (random, (uint32_t)size) : 0;
+
+  switch (ph_random_below (random, 4))
+    {
+    case 0:
+      text[at] = alphabet[ph_random_below (random, sizeof alphabet - 1)];
+      break;
+    case 1:
+      text[at] = '\0';
+      break;
+    case 2:
+      memmove (text + at, text + at + (at < size), size - at);
+      break;
+    default:
+      if (size + 1 < INPUT_MAX)
+        {
+          memmove (text + at + 1, text + at, size - at + 1);
+          text[at] = alphabet[ph_random_below (random, sizeof alphabet - 1)];
+        }
+      break;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  unsigned long total = argc > 1 ? strtoul (argv[1], NULL, 10) : 10000;
+  unsigned long first = argc > 2 ? strtoul (argv[2], NULL, 10) : 1;
+  unsigned long failed = 0;
+
+  for (unsigned long i = 0; i < total; i++)
+    {
+      PhRandom random;
+      const Seed *seed;
+      char text[INPUT_MAX];
+      char *copy;
+      uint32_t mutations;
+
+      ph_random_seed (&random, first + i);
+      seed = &seeds[ph_random_below (&random, COUNT (seeds))];
+      snprintf (text, INPUT_MAX, "%s", seed->text);
+      mutations = ph_random_below (&random, MUTATIONS_MAX + 1);
+      for (uint32_t j = 0; j < mutations; j++)
+        mutate (&random, text);
+      /* In memory of its own size, so that the sanitizer sees a read beyond the end. */
+      copy = strdup (text);
+      if (copy == NULL)
+        return 1;
+      if (!seed->read (seed->path, copy, strlen (copy)))
+        {
+          failed++;
+          printf ("seed %lu: %s\n", first + i, text);
+        }
+      free (copy);
+    }
+  printf ("%lu passed, %lu failed\n", total - failed, failed);
+  return failed != 0;
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,146 @@
+#include "pollenhitch/route.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "fixture.h"
+#include "test.h"
+
+/* Routes: what a request is matched to, and how a split route is shared. */
+
+typedef struct
+{
+  const char *host;
+  const char *prefix;
+  const char *service;
+} RouteRow;
+
+static const RouteRow rows[] = {
+  { "a.example", "/", "t/root" },
+  { "a.example", "/read/", "t/read" },
+  { "a.example", "/read/deep/", "t/deep" },
+  { "b.example", "/read/", "t/other" },
+};
+
+static void
+apply_rows (Fixture *fixture, const RouteRow *first, uint32_t count)
+{
+  PhRouteSet *set = ph_route_set_new (count, count);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      PhRouteSpec *spec = &set->routes[set->route_count++];
+
+      ph_text_copy (spec->host, sizeof spec->host, first[i].host);
+      ph_text_copy (spec->prefix, sizeof spec->prefix, first[i].prefix);
+      spec->part_count = 1;
+      spec->parts[0].weight = 1;
+      ph_text_copy (spec->parts[0].service, PH_NAME_MAX, first[i].service);
+      ph_text_copy (set->services[set->service_count++].service, PH_NAME_MAX, first[i].service);
+    }
+  CU_ASSERT_TRUE (ph_route_apply (&fixture->ctx, fixture->world, set, NULL));
+  ph_route_set_drop (set);
+}
+
+/* Guards against a shorter prefix that hides a longer one, a match inside a segment, and a port or
+ * upper case in the host that makes a route unknown. */
+static const struct
+{
+  const char *host;
+  const char *path;
+  const char *service; /* NULL for no route */
+} match_cases[] = {
+  { "a.example", "/read/x", "t/read" },
+  { "a.example", "/read/", "t/read" },
+  { "a.example", "/read", "t/root" },
+  { "a.example", "/readers/x", "t/root" },
+  { "a.example", "/read/deep/x/y", "t/deep" },
+  { "a.example", "/read/deep", "t/read" },
+  { "a.example", "/read/x?y=/read/deep/", "t/read" },
+  { "A.Example:8080", "/read/x", "t/read" },
+  { "b.example", "/read/x", "t/other" },
+  { "b.example", "/", NULL },
+  { "c.example", "/read/x", NULL },
+  { "", "/read/x", NULL },
+};
+
+static void
+test_match (void)
+{
+  Fixture f;
+
+  fixture_start (&f, 1, 8, NULL);
+  apply_rows (&f, rows, PH_COUNT (rows));
+  for (size_t i = 0; i < PH_COUNT (match_cases); i++)
+    {
+      PhRouteId id = ph_route_find (f.world, match_cases[i].host, match_cases[i].path);
+      const PhRoute *route = ph_route_get (&f.world->routes, id);
+      const char *service = route != NULL ? route->spec.parts[0].service : NULL;
+
+      if ((service == NULL) != (match_cases[i].service == NULL)
+          || (service != NULL && strcmp (service, match_cases[i].service) != 0))
+        CU_FAIL (match_cases[i].path);
+    }
+  /* A set replaces the one before it as a whole. */
+  apply_rows (&f, rows + 1, 1);
+  CU_ASSERT_EQUAL (f.world->routes.count, 1);
+  CU_ASSERT_EQUAL (ph_route_find (f.world, "a.example", "/x").v, 0);
+  CU_ASSERT_NOT_EQUAL (ph_route_find (f.world, "a.example", "/read/x").v, 0);
+  CU_ASSERT_FALSE (
+      ph_service_get (&f.world->services, ph_service_find (f.world, "t/root"))->is_configured);
+  fixture_stop (&f);
+}
+
+#define SPLIT_CALLS 1000
+
+/* Guards against weights that hold only in the long run: against the exact share of every run. */
+static const uint32_t split_cases[][3] = { { 1, 0, 0 }, { 1, 1, 0 }, { 90, 10, 0 }, { 3, 2, 1 } };
+
+static void
+test_split (void)
+{
+  for (size_t i = 0; i < PH_COUNT (split_cases); i++)
+    {
+      PhRouteSet *set = ph_route_set_new (1, 3);
+      PhRouteSpec *spec = &set->routes[set->route_count++];
+      uint32_t counts[3] = { 0 };
+      uint32_t total = 0;
+      PhRouteId id;
+      Fixture f;
+
+      fixture_start (&f, 1, 8, NULL);
+      ph_text_copy (spec->host, sizeof spec->host, "a.example");
+      ph_text_copy (spec->prefix, sizeof spec->prefix, "/");
+      for (uint32_t k = 0; k < 3; k++)
+        {
+          PhRoutePart *part = &spec->parts[spec->part_count++];
+
+          snprintf (part->service, sizeof part->service, "t/s%u", k);
+          part->weight = split_cases[i][k];
+          total += part->weight;
+          ph_text_copy (set->services[set->service_count++].service, PH_NAME_MAX, part->service);
+        }
+      CU_ASSERT_TRUE (ph_route_apply (&f.ctx, f.world, set, NULL));
+      ph_route_set_drop (set);
+      id = ph_route_find (f.world, "a.example", "/x");
+      for (uint32_t n = 1; n <= SPLIT_CALLS; n++)
+        {
+          PhServiceId service = ph_route_pick (f.world, id);
+
+          for (uint32_t k = 0; k < 3; k++)
+            {
+              double share = (double)split_cases[i][k] * n / total;
+
+              counts[k] += ph_service_get (&f.world->services, service)->name[3] == '0' + (int)k;
+              CU_ASSERT_TRUE (counts[k] <= share + 1 && counts[k] >= share - 1);
+            }
+        }
+      fixture_stop (&f);
+    }
+}
+
+static const PhTest tests[] = {
+  { "longest prefix", test_match },
+  { "shares of a split route", test_split },
+};
+PH_TEST_SUITE (route, tests)
