Hedge at half of the objective

Cause: with a quarter of the VMs slow, the 95th percentile of an attempt is past the objective, so that a hedge came too late to help. Ruled out: a smaller percentile (it moves with the mix of routes). Change: a call that may be repeated and has an objective is hedged at half of it, if the budget of hedges allows; refusals between nodes before it do not count.

--- a/source/core/call.c
+++ b/source/core/call.c
@@ -584,9 +584,15 @@
 {
   const PhService *service = ph_service_get (&world->services, call->service);
   PhTime after = ph_retry_hedge_after (&service->retry);
+  PhTime useful
+      = call->objective_at != PH_TIME_NEVER ? (call->objective_at - ctx->now) / 2 : PH_TIME_NEVER;
 
-  if (!call->is_idempotent || call->is_rerun || call->tried_count > 1 || !may_resend (call)
-      || after >= ph_call_time_left (ctx, call))
+  /* Later, a second response could not come within the objective either. */
+  if (after != PH_TIME_NEVER && useful < after)
+    after = useful;
+
+  if (!call->is_idempotent || call->is_rerun || call->arrivals > 0 || call->hedge_at != 0
+      || after <= 0 || !may_resend (call) || after >= ph_call_time_left (ctx, call))
     return;
   if (ph_timer_add (&world->timers, ctx->now + after, PH_TIMER_CALL, id.v))
     call->hedge_at = ctx->now + after;
