Join before reading the configuration; fewer calls to the store at a start

Ruled out: watches (6 nodes x 3 kinds, flat). Change: a node that found no other writes the contact object at a random point of 0.6 s, asks one that was written before, and lists the configuration only 0.3 s after it has joined, or alone after 2 s.

--- a/source/node/store.c
+++ b/source/node/store.c
@@ -33,9 +33,14 @@
 #define FIND_GAP_MIN (250 * PH_MS)
 #define FIND_GAP_MAX (10 * PH_SECOND)
 
-/* Time for the first exchange with a node that was found, before this node reads the configuration
- * itself. */
-#define SETTLE_TIME (250 * PH_MS)
+/* A node that found no other writes the contact object at a random point of this time, so that the
+ * others of its data centre find the first one's. */
+#define FIRST_PUBLISH_SPREAD (600 * PH_MS)
+
+/* Time to hear of the other members after the first exchange, before this node takes itself for a
+ * watcher; and after which a node that is alone reads the configuration itself. */
+#define SETTLE_TIME (300 * PH_MS)
+#define ALONE_TIME (2 * PH_SECOND)
 
 /* Time for a change of the membership to spread before the rank is looked at again. */
 #define RANK_GAP PH_SECOND
@@ -95,7 +100,9 @@
   PhTime started_at;
   PhTime tokens_at; /* when the bucket was, or will be, empty */
   PhTime find_gap;
-  PhTime found_at; /* end of the first look for other nodes, 0 before */
+  PhTime found_at;   /* end of the first look for other nodes, 0 before */
+  PhTime publish_at; /* when a node that found no other writes the contact object, 0 before */
+  PhTime joined_at;  /* when this node first saw that it has joined, 0 before */
   uint32_t ranked_version;
   PhTime rank_at;
   char *contacts; /* text that the contact object should have */
@@ -126,13 +133,16 @@
          || store->node->ctx.now > store->started_at + JOIN_TIME;
 }
 
-/* Whether this node has looked for others, and has had time to hear from those that it found. */
+/* Whether this node knows the members well enough to tell whether it is a watcher, or is alone for
+ * so long that it has to be. */
 static bool
-has_settled (const PhStore *store)
+may_watch (const PhStore *store)
 {
-  return has_joined (store)
-         && (store->node->world->membership.is_joined
-             || (store->found_at != 0 && store->node->ctx.now > store->found_at + SETTLE_TIME));
+  PhTime now = store->node->ctx.now;
+
+  if (store->joined_at != 0)
+    return now >= store->joined_at + SETTLE_TIME;
+  return has_joined (store) && store->found_at != 0 && now >= store->started_at + ALONE_TIME;
 }
 
 /* Finding other nodes. */
@@ -215,7 +225,11 @@
   (void)answer;
   (void)err;
   if (store->found_at == 0)
-    store->found_at = ctx->now;
+    {
+      store->found_at = ctx->now;
+      store->publish_at
+          = ctx->now + ph_random_below (&ctx->random, (uint32_t)FIRST_PUBLISH_SPREAD);
+    }
   job->due_at
       = ctx->now + store->find_gap / 2 + ph_random_below (&ctx->random, (uint32_t)store->find_gap);
   if (store->find_gap < FIND_GAP_MAX)
@@ -234,7 +248,7 @@
 static bool
 watch_is_wanted (Job *job)
 {
-  return prefix_of (job) != NULL && job->store->state.is_watcher && has_settled (job->store);
+  return prefix_of (job) != NULL && job->store->state.is_watcher && may_watch (job->store);
 }
 
 static bool
@@ -321,7 +335,11 @@
 {
   PhStore *store = job->store;
 
-  return store->state.is_watcher && has_settled (store) && store->contacts != NULL
+  bool is_due = store->joined_at != 0
+                    ? may_watch (store)
+                    : store->publish_at != 0 && store->node->ctx.now >= store->publish_at;
+
+  return store->state.is_watcher && is_due && store->contacts != NULL
          && (store->published == NULL || strcmp (store->contacts, store->published) != 0);
 }
 
@@ -356,6 +374,8 @@
   (void)revision;
   set_published (job->store,
                  object != NULL ? json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS) : NULL);
+  if (job->store->joined_at == 0)
+    seed_from_contact (job->store, object);
   json_decref (object);
 }
 
@@ -369,6 +389,13 @@
     {
       store->is_contact_read = true;
       store->contact_revision = answer->status == PH_STORE_OK ? answer->revision : 0;
+      /* Another node was first: it is asked before its contact is replaced. */
+      if (answer->status == PH_STORE_OK && store->joined_at == 0
+          && store->node->ctx.now < store->started_at + ALONE_TIME)
+        {
+          store->is_contact_read = false;
+          job->due_at = store->started_at + ALONE_TIME;
+        }
       return true;
     }
   /* After a conflict the text of the other watcher is read before the next attempt. */
@@ -436,7 +463,7 @@
 {
   PhStore *store = job->store;
 
-  return (store->state.is_watcher || store->dialect->reports_open_moves) && has_settled (store)
+  return (store->state.is_watcher || store->dialect->reports_open_moves) && may_watch (store)
          && find_report (store).v != 0;
 }
 
@@ -729,6 +756,11 @@
   uint32_t count;
   bool is_watcher = false;
 
+  if (world->membership.is_joined && store->joined_at == 0)
+    {
+      store->joined_at = node->ctx.now;
+      store->rank_at = store->joined_at + SETTLE_TIME;
+    }
   if (!has_joined (store) || node->ctx.now < store->rank_at
       || (store->contacts != NULL && store->ranked_version == world->membership.version))
     return;
@@ -803,8 +835,15 @@
 
   if (!has_joined (store) && store->started_at + JOIN_TIME < next)
     next = store->started_at + JOIN_TIME + PH_MS;
-  if (!has_settled (store) && store->found_at != 0 && store->found_at + SETTLE_TIME < next)
-    next = store->found_at + SETTLE_TIME + PH_MS;
+  if (store->joined_at == 0 && store->publish_at > now && store->publish_at < next)
+    next = store->publish_at;
+  if (!may_watch (store))
+    {
+      PhTime at = store->joined_at != 0 ? store->joined_at + SETTLE_TIME
+                                        : store->started_at + ALONE_TIME;
+
+      next = at > now && at < next ? at : next;
+    }
   if (has_open_report (store) && now + REPORT_GAP < next)
     next = now + REPORT_GAP;
   if (store->ranked_version != node->world->membership.version && store->rank_at < next)
