Send evidence to judges by rank; smaller steps of a move with a duration

Evidence went to two random nodes a second, so that with 68 upstreams no node saw more than a twentieth of it, and half of all calls were on the new version before any test could alarm. Ruled out: a false 'good' (the flag came late, not wrongly). Change: counts go each 0.4 s to the two first nodes beside the new version by rank, and to one at random; only these two raise a stage at its time, others 4% of the duration later; stages 3, 12, 30, 60, 100%.

--- a/source/core/move.c
+++ b/source/core/move.c
@@ -19,7 +19,14 @@
 /* Slow calls of one node and route within this time have one cause. */
 #define BURST (100 * PH_MS)
 #define SEND_GAP PH_SECOND
-#define SEND_TARGETS 2
+#define SEND_GAP_SHORT (400 * PH_MS) /* of a move with a duration */
+
+/* Nodes beside the new version to which all others send their counts, chosen by rank, so that some
+ * node sees all evidence however many there are; one more at random stands in for them. */
+#define JUDGES 2
+
+/* A node that is no judge raises the stage when it is late by this part of the duration. */
+#define JUDGE_LATE 0.04
 
 /* A gap between two looks after which this node was paused: what it knows is old, so that it starts
  * the stage anew before it raises it. */
@@ -53,13 +60,14 @@
  * in time, so that most of the time goes to a small share and the steps after it are short. All
  * calls go to the new version for a tenth of the time before the move is reported as done: the old
  * upstreams stop at the report, and their calls must have ended. */
-#define ORDER_STAGES 4
+#define ORDER_STAGES 5
 
 static const struct
 {
   double share;
   double until;
-} order_stages[ORDER_STAGES] = { { 0.05, 0.5 }, { 0.25, 0.6 }, { 0.5, 0.7 }, { 1, 0.85 } };
+} order_stages[ORDER_STAGES]
+    = { { 0.03, 0.5 }, { 0.12, 0.54 }, { 0.3, 0.59 }, { 0.6, 0.64 }, { 1, 0.85 } };
 
 static const char *const reason_names[] = { "none", "failures", "slow", "deadline", "cancelled" };
 
@@ -615,14 +623,102 @@
   return whole / STAGE_PARTS;
 }
 
+/* The node beside an upstream of the service's new version; 0 for any other upstream. */
+static PhMemberId
+member_beside_new (const PhWorld *world, const PhMove *move, PhUpstreamId id)
+{
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, id);
+
+  if (strcmp (upstream->version, move->spec.to) != 0)
+    return (PhMemberId){ 0 };
+  return upstream->is_local ? world->membership.self : upstream->member;
+}
+
+static uint64_t
+judge_score (const PhWorld *world, const PhMove *move, PhMemberId id)
+{
+  const PhMember *member = ph_member_get (&world->members, id);
+
+  return member != NULL ? ph_hash_mix (member->name_hash, move->path_hash) : 0;
+}
+
+/* The first nodes beside the new version by rendezvous hash. Returns how many there are. */
+static uint32_t
+find_judges (const PhWorld *world, const PhMove *move, PhMemberId *judges)
+{
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; service != NULL && i < service->upstream_count; i++)
+    {
+      PhMemberId id = member_beside_new (world, move, service->upstreams[i]);
+      uint32_t at = count;
+
+      if (ph_member_get (&world->members, id) == NULL)
+        continue;
+      while (at > 0 && judge_score (world, move, judges[at - 1]) < judge_score (world, move, id))
+        at--;
+      if (at == JUDGES)
+        continue;
+      if (count < JUDGES)
+        count++;
+      memmove (&judges[at + 1], &judges[at], (count - at - 1) * sizeof *judges);
+      judges[at] = id;
+    }
+  return count;
+}
+
+static bool
+is_listed (const PhMemberId *ids, uint32_t at)
+{
+  for (uint32_t i = 0; i < at; i++)
+    if (ids[i].v == ids[at].v)
+      return true;
+  return false;
+}
+
+static PhMemberId
+draw_beside_new (PhContext *ctx, const PhWorld *world, const PhMove *move)
+{
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
+  uint32_t count = service != NULL ? service->upstream_count : 0;
+  uint32_t start = ph_random_below (&ctx->random, count);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      PhMemberId id = member_beside_new (world, move, service->upstreams[(start + i) % count]);
+
+      if (id.v != 0 && id.v != world->membership.self.v)
+        return id;
+    }
+  return (PhMemberId){ 0 };
+}
+
+static bool
+is_judge (const PhWorld *world, const PhMove *move)
+{
+  PhMemberId judges[JUDGES + 1];
+  uint32_t count = find_judges (world, move, judges);
+
+  judges[count] = world->membership.self;
+  return is_listed (judges, count);
+}
+
 /* Whether the present stage has lasted, and has seen, enough. */
 static bool
-is_stage_over (const PhContext *ctx, const PhMove *move, uint32_t calls)
+is_stage_over (const PhContext *ctx, const PhWorld *world, const PhMove *move, uint32_t calls)
 {
+  double part;
+
   if (move->spec.duration != 0)
-    return move->stage < ORDER_STAGES && calls > 0
-           && (double)(ctx->now - move->begun_at)
-                  >= order_stages[move->stage].until * (double)move->spec.duration;
+    {
+      part = (double)(ctx->now - move->begun_at) / (double)move->spec.duration;
+      if (!is_judge (world, move))
+        part -= JUDGE_LATE;
+      return move->stage < ORDER_STAGES && calls > 0 && part >= order_stages[move->stage].until;
+    }
   return ctx->now - move->stage_at >= stage_time (move) && calls >= move->stage_calls + STAGE_CALLS;
 }
 
@@ -650,39 +746,36 @@
     set_stage (ctx, move, stage, calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTES && !move->is_bad; i++)
     judge_route (ctx, move, i, &control[i], &counts[i]);
-  if (!move->is_bad && is_stage_over (ctx, move, calls) && !is_in_doubt (move))
+  if (!move->is_bad && is_stage_over (ctx, world, move, calls) && !is_in_doubt (move))
     set_stage (ctx, move, next_stage (move), calls);
   if (!move->is_bad && move->stage == stage)
     return;
   ph_gossip_move (ctx, world, id);
 }
 
-/* Sends own counts to a few random nodes beside upstreams of the new version. */
+/* Sends own counts to the judges and to one random node beside an upstream of the new version. */
 static void
 send_evidence (PhContext *ctx, PhWorld *world, PhMoveId id, bool is_new)
 {
   PhMove *move = ph_move_get (&world->moves, id);
   const PhEvidence *own = find_own (world, id, is_new);
-  const PhService *service
-      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
-  uint32_t start;
+  PhMemberId targets[JUDGES + 1];
+  uint32_t count;
 
-  if (own == NULL || service == NULL || ctx->now < move->sent_at + SEND_GAP
+  if (own == NULL
+      || ctx->now < move->sent_at + (move->spec.duration != 0 ? SEND_GAP_SHORT : SEND_GAP)
       || sum_calls (own->routes) == move->sent_calls)
     return;
   move->sent_at = ctx->now;
   move->sent_calls = sum_calls (own->routes);
-  start = ph_random_below (&ctx->random, service->upstream_count);
-  for (uint32_t i = 0, sent = 0; i < service->upstream_count && sent < SEND_TARGETS; i++)
+  count = find_judges (world, move, targets);
+  targets[count++] = draw_beside_new (ctx, world, move);
+  for (uint32_t i = 0; i < count; i++)
     {
-      const PhUpstream *to = ph_upstream_get (
-          &world->upstreams, service->upstreams[(start + i) % service->upstream_count]);
-      const PhMember *member = ph_member_get (&world->members, to->member);
+      const PhMember *member = ph_member_get (&world->members, targets[i]);
 
-      if (member == NULL || to->is_local || strcmp (to->version, move->spec.to) != 0)
-        continue;
-      ph_gossip_send_evidence (ctx, world, &member->record, move, own);
-      sent++;
+      if (member != NULL && !member->is_self && !(i == count - 1 && is_listed (targets, i)))
+        ph_gossip_send_evidence (ctx, world, &member->record, move, own);
     }
 }
 
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -445,6 +445,7 @@
 
 #define ORDER_DURATION (14 * PH_SECOND)
 #define ORDER_CALLS_PER_S 84
+#define ORDER_CALLS_LARGE 555
 #define ORDER_EXPOSURE_SHARE 0.1 /* of all calls of the service until the deadline, */
 #define ORDER_EXPOSURE_EXTRA 50  /* and so many more: the platform's bound */
 #define ORDER_WORK (120 * PH_MS)
@@ -460,16 +461,23 @@
   double bad_from;  /* share of the calls */
   uint32_t route;
   PhMoveOutcome outcome;
+  uint32_t calls_per_s;
 } OrderCase;
 
 static const OrderCase order_cases[] = {
-  { "good", 0, 1, 0, 0, NO_ROUTE, PH_MOVE_DONE },
-  { "fails", 1, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
-  { "fails by half", 0.5, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
-  { "is slow", 0, 8, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
-  { "fails late", 0.5, 1, 3 * PH_SECOND, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
-  { "fails under load", 0.5, 1, 0, 0.2, NO_ROUTE, PH_MOVE_TAKEN_BACK },
-  { "fails on one route", 0.5, 1, 0, 0, 0, PH_MOVE_TAKEN_BACK },
+  { "good", 0, 1, 0, 0, NO_ROUTE, PH_MOVE_DONE, ORDER_CALLS_PER_S },
+  { "fails", 1, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "fails by half", 0.5, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "is slow", 0, 8, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "fails late", 0.5, 1, 3 * PH_SECOND, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "fails under load", 0.5, 1, 0, 0.2, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "fails on one route", 0.5, 1, 0, 0, 0, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "fails under full load", 0.5, 1, 0, 0.5, NO_ROUTE, PH_MOVE_TAKEN_BACK, ORDER_CALLS_PER_S },
+  { "good, large service", 0, 1, 0, 0, NO_ROUTE, PH_MOVE_DONE, ORDER_CALLS_LARGE },
+  { "fails under load, large service", 0.5, 1, 0, 0.25, NO_ROUTE, PH_MOVE_TAKEN_BACK,
+    ORDER_CALLS_LARGE },
+  { "fails under full load, large service", 0.5, 1, 0, 0.9, NO_ROUTE, PH_MOVE_TAKEN_BACK,
+    ORDER_CALLS_LARGE },
 };
 
 static void
@@ -518,6 +526,7 @@
         const OrderCase *c = &order_cases[i];
         uint32_t exposed = 0;
         uint32_t calls = 0;
+        double due = 0; /* calls */
         PhMoveReason reason;
 
         start_bed (seed, 5);
@@ -525,10 +534,9 @@
         for (PhTime since = 0; since < ORDER_DURATION - TICK; since += TICK)
           {
             run_tick (NODES);
-            if (ph_random_unit (&bed.random) * PH_SECOND >= (double)ORDER_CALLS_PER_S * TICK)
-              continue;
-            calls++;
-            exposed += run_ordered_call (c, since);
+            due += (double)c->calls_per_s * TICK / PH_SECOND;
+            for (; due >= 1; due--, calls++)
+              exposed += run_ordered_call (c, since);
           }
         if (ph_move_outcome (&bed.ctx[7], find_move (7, PATH), &reason) != c->outcome)
           {
