Refuse bodies over the configured limit; drop reasons and limits that nothing uses

Cause: reading the change as a newcomer: two reasons of refusals were never given, and the limits on callers were decoded and had no effect. Conclusion: a body in chunks is not bounded yet.

--- a/include/pollenhitch/route.h
+++ b/include/pollenhitch/route.h
@@ -42,12 +42,11 @@
   PhRoutePart parts[PH_ROUTE_PARTS_MAX];
 } PhRouteSpec;
 
-/* What a caller may send, and how long it may take; 0 for the node's defaults. */
+/* What a caller may send. The size of the fields is bounded by the server's memory for a
+ * connection, and an idle connection is kept longer than any caller uses it again. */
 typedef struct
 {
-  uint64_t fields_bytes_max;
-  uint64_t body_bytes_max;
-  PhTime idle_time; /* an idle connection is closed after this time */
+  uint64_t body_bytes_max; /* 0 for no limit */
 } PhCallerLimits;
 
 /* A set as it is decoded. Owned by whoever holds it: ph_route_set_drop. */
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -63,8 +63,6 @@
   [PH_REASON_TABLE_FULL] = { "table-full", 503, AFTER_BUSY },
   [PH_REASON_CALLER_LEFT] = { "caller-left", 400, AFTER_FINAL },
   [PH_REASON_NO_CONFIGURATION] = { "no-configuration", 503, AFTER_FINAL },
-  [PH_REASON_OBJECTIVE] = { "objective", 503, AFTER_BUSY },
-  [PH_REASON_COLD] = { "cold", 503, AFTER_BUSY },
   [PH_REASON_UPSTREAM_ERROR] = { "upstream-error", 502, AFTER_BUSY },
   [PH_REASON_SLOW] = { "slow", 503, AFTER_OTHER },
 };
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -420,6 +420,9 @@
 
   if (exchange->url == NULL || !ph_request_body_size (exchange->connection, &exchange->body_size))
     return PH_REASON_BAD_REQUEST;
+  if (exchange->origin == PH_ORIGIN_CALLER && node->world->caller_limits.body_bytes_max != 0
+      && exchange->body_size > (int64_t)node->world->caller_limits.body_bytes_max)
+    return PH_REASON_TOO_LARGE;
   if (exchange->origin == PH_ORIGIN_CALLER)
     return dialect->read_request (dialect->user, node, exchange->connection, exchange->method,
                                   exchange->url, opts, service, id);
--- a/tests/e2e/platform.sh
+++ b/tests/e2e/platform.sh
@@ -26,6 +26,9 @@
 head -c 100000 /dev/zero | tr '\0' x >"$work/large"
 request 4 /write/x --data-binary @"$work/large" -H 'Transfer-Encoding: chunked'
 check "a body in chunks gets through" [ "$status" = 200 ]
+head -c 1100000 /dev/zero >"$work/larger"
+request 4 /write/x --data-binary @"$work/larger"
+check "a body over the limit is refused" [ "$status" = 413 ]
 
 counts=0
 for n in $(seq 40); do is_by 2 /split/x lib && counts=$((counts + 1)); done
