--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,7 @@
 
 demo: deps
 	@$(MAKE) --no-print-directory -j8 all
+	@scripts/demo-platform
 	@scripts/demo
 
 bench: deps
