--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -326,7 +326,8 @@
 }
 
 /* Whether a call that has other upstreams to go to is better off there: this one's VM is slow now,
- * or the call would wait. The node that chose it could not know. */
+ * which the node that chose it could not know. A call that would wait is not sent on: under
+ * overload others are as full, and each hop costs bytes and time. */
 static bool
 is_better_elsewhere (const PhContext *ctx, const PhWorld *world)
 {
