Decide in one place whether a status is a failure of the upstream

Cause: the condition for failures stood twice in on_head. Change: is_error uses is_upstream_failure, with the same result.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -245,7 +245,7 @@
     {
       attempt->is_dependency_error
           = status == MHD_HTTP_BAD_GATEWAY || status == MHD_HTTP_GATEWAY_TIMEOUT;
-      attempt->is_error = status >= MHD_HTTP_INTERNAL_SERVER_ERROR && !attempt->is_dependency_error;
+      attempt->is_error = is_upstream_failure (status);
     }
   exchange->winner = forward->id;
   exchange->status = status;
