Load driver: the refusal of a repeat does not stand for the attempt before it

Cause: the driver repeats an idempotent call whose response was cut, under the same id, at another node. When that repeat was refused as not run, it counted the call as refused, although the ledger rightly has the first attempt. Ruled out: the nodes. Change: a repeat that is refused is counted apart and leaves the call unknown. A refused call with a single attempt is checked against the ledgers as before.

--- a/tests/e2e/standins.sh
+++ b/tests/e2e/standins.sh
@@ -46,4 +46,11 @@
 run_load --targets "$all" --ledger "$all" --calls 200 --seed 7
 control '{"shed_rate": 0}'
 check "a false refusal is noticed" [ "$(field "$result" false_refusals)" -gt 0 ]
+# Guards against a verdict on the node for what the caller did: a call is run and its response cut, the
+# caller repeats it, and the repeat is refused as not run, which is true of the repeat only.
+control '{"shed_rate": 0.5, "cut_rate": 0.3}'
+run_load --targets "$all" --ledger "$all" --calls 200 --seed 8 --post-share 0 --cut-is-unknown
+control '{"shed_rate": 0, "cut_rate": 0}'
+check "a refused repeat of a cut call happened" [ "$(field "$result" refused_repeats)" -gt 0 ]
+check "and is no false refusal" [ "$(field "$result" false_refusals)" -eq 0 ]
 finish
--- a/tests/standins/load.c
+++ b/tests/standins/load.c
@@ -48,6 +48,7 @@
   uint64_t sent_at, received;
   XXH64_state_t *hash;
   bool is_sent;
+  bool is_repeat; /* an earlier attempt was sent and had no answer: it may have run */
   bool is_wrong;
   bool is_echoed;
   bool is_hash_right;
@@ -81,7 +82,7 @@
   int64_t started_at;
   int64_t ends_at;
   uint64_t outcomes[CALL_OUTCOMES];
-  uint64_t cut, twice, false_refusals, reconnects, bytes, too_many;
+  uint64_t cut, twice, false_refusals, refused_repeats, reconnects, bytes, too_many;
   int cut_is_unknown, is_exact;
   uint64_t buckets[BUCKETS];
   Counter counters[COUNTERS_MAX];
@@ -223,13 +224,15 @@
   return size;
 }
 
-/* A call that may not be repeated must not be sent a second time by libcurl itself. */
+/* A call that may not be repeated must not be sent a second time by libcurl itself. One that may be
+ * is a repeat from then on. */
 static int
 stop_second_send (void *user, char *to, char *from, int to_port, int from_port)
 {
   Flight *flight = user;
   bool is_second = flight->is_sent && !load.table[flight->number].is_repeatable;
 
+  flight->is_repeat = flight->is_repeat || flight->is_sent;
   (void)to;
   (void)from;
   (void)to_port;
@@ -306,6 +309,7 @@
   flight->number = number;
   flight->started = at;
   flight->tries = 0;
+  flight->is_repeat = false;
   flight->target = (unsigned)(draw (number, 0) % load.target_count);
   snprintf (flight->id, sizeof flight->id, "%s%x-%x", load.name, (unsigned)load.seed, number);
   call->hash = ph_hash (flight->id);
@@ -338,6 +342,12 @@
                    && flight->received == flight->want
                ? CALL_WHOLE
                : CALL_MIXED;
+  /* The refusal of a repeat says nothing of the attempt before it. */
+  if (strcmp (flight->run, "no") == 0 && flight->is_repeat)
+    {
+      load.refused_repeats++;
+      return CALL_UNKNOWN;
+    }
   if (strcmp (flight->run, "no") == 0)
     return CALL_REFUSED;
   if (strcmp (flight->run, "unknown") == 0)
@@ -364,6 +374,7 @@
       && (!flight->is_sent || call->is_repeatable) && ++flight->tries < (unsigned)load.caller_tries)
     {
       load.reconnects++;
+      flight->is_repeat = flight->is_repeat || flight->is_sent;
       flight->target = (flight->target + 1) % load.target_count;
       send_flight (flight);
       return;
@@ -485,11 +496,12 @@
   for (int i = CALL_WHOLE; i < CALL_OUTCOMES; i++)
     printf (",\"%s\":%" PRIu64, outcome_names[i], load.outcomes[i]);
   printf (",\"cut\":%" PRIu64 ",\"run_twice\":%" PRIu64 ",\"false_refusals\":%" PRIu64
-          ",\"reconnects\":%" PRIu64 ",\"bytes\":%" PRIu64 ",\"p50_us\":%" PRIu64
-          ",\"p99_us\":%" PRIu64 ",\"p999_us\":%" PRIu64
+          ",\"refused_repeats\":%" PRIu64 ",\"reconnects\":%" PRIu64 ",\"bytes\":%" PRIu64
+          ",\"p50_us\":%" PRIu64 ",\"p99_us\":%" PRIu64 ",\"p999_us\":%" PRIu64
           ",\"seconds\":%.3f,\"rate\":%.0f,\"counts\":{",
-          load.cut, load.twice, load.false_refusals, load.reconnects, load.bytes, percentile (0.5),
-          percentile (0.99), percentile (0.999), seconds, load.next / seconds);
+          load.cut, load.twice, load.false_refusals, load.refused_repeats, load.reconnects,
+          load.bytes, percentile (0.5), percentile (0.99), percentile (0.999), seconds,
+          load.next / seconds);
   for (unsigned i = 0; i < COUNTERS_MAX && load.counters[i].count > 0; i++)
     printf ("%s\"%s\":%" PRIu64, i > 0 ? "," : "", load.counters[i].name, load.counters[i].count);
   printf ("}}\n");
