Close the open rows of docs/rules.md with tests that fail without the mechanism

Forged fields: the stand-in upstream answers 400 to a request with two fields of the caller's service; with the field let through, platform.sh fails ("and is the node's word"), which passed before. Time that is handed on: the stand-in tells the time that it saw; without the route's time-out, or without the caller's time, one of two new checks fails. Reports of moves: the stand-in counts writes of a status, and loses the answer of one; the count must be 2. Without the reading back it stays 2, since the condition on the revision refuses a second write: that row stays open.

--- a/tests/e2e/platform.sh
+++ b/tests/e2e/platform.sh
@@ -23,6 +23,11 @@
 check "the service of the caller's VM is told" [ "${body##* }" = book ]
 request 5 /read/x -H 'Caller-Service: forged'
 check "and is the node's word" [ "${body##* }" = lib ]
+# Guards against upstreams that work on for a caller that waits no more.
+check "an upstream is handed the route's time where it is shorter" is_handed 1 /read/x 1000 1500
+deadline=700
+check "and the caller's where that is shorter" is_handed 1 /read/x 200 700
+deadline=
 head -c 100000 /dev/zero | tr '\0' x >"$work/large"
 request 4 /write/x --data-binary @"$work/large" -H 'Transfer-Encoding: chunked'
 check "a body in chunks gets through" [ "$status" = 200 ]
@@ -113,6 +118,10 @@
 rollout () { curl -s "http://$store/objects/rollouts/book" | grep -q "\"state\":\"$1\""; }
 send_some () { local n; for n in 1 2 3; do request $((n * 2 - 1)) /read/x; done; "$@"; }
 check "a move is reported as running" wait_until 6 send_some rollout running
+# The answer of the write that reports the end may be lost: it is read back, not written again.
+control '{"lose":1}'
 check "a good one is reported as completed" wait_until 10 send_some rollout completed
 check "and all calls go to the new version" eval 'request 5 /read/x; [[ $body == "book v2 "* ]]'
+# Guards against nodes that each report a move, or report it again after a lost answer.
+check "a move is reported twice: running and completed" [ "$(stats reports)" -eq 2 ]
 finish
--- a/tests/e2e/platform_lib.sh
+++ b/tests/e2e/platform_lib.sh
@@ -20,16 +20,23 @@
 }
 service_of () { [ "$1" -le 3 ] && echo book || echo lib; }
 sent=0
-request () { # I PATH [CURL FLAG...]: status in $status, body in $body, its id in $last_id
+request () { # I PATH [CURL FLAG...], within $deadline ms or 2000: status in $status, body in $body, its id in $last_id
   local i=$1 path=$2 id
   shift 2
   sent=$((sent + 1))
   id=$(printf '%08x%08x' $((RANDOM * 32768 + RANDOM)) $sent)
   last_id=$id
   status=$(curl -s -m 5 -o "$work/body" -w '%{http_code}' -H 'Host: a.example' -H "Attempt-Id: $id" \
-    -H 'Deadline-Ms: 2000' -D "$work/head" "$@" "http://$(address "$i"):8147$path")
+    -H "Deadline-Ms: ${deadline:-2000}" -D "$work/head" "$@" "http://$(address "$i"):8147$path")
   body=$(cat "$work/body" 2>/dev/null)
 }
+# I PATH LEAST MOST: the time in ms that the upstream was handed lies within these bounds.
+is_handed () {
+  local ms
+  request "$1" "$2"
+  ms=$(grep -i '^Seen-Deadline-Ms:' "$work/head" | grep -oE '[0-9]+')
+  [ "$status" = 200 ] && [ "${ms:-0}" -ge "$3" ] && [ "$ms" -le "$4" ]
+}
 answers_with () { request "$1" "$2" && [ "$status" = "$3" ]; } # I PATH STATUS
 is_by () { request "$1" "$2" && [ "$status" = 200 ] && [[ $body == "$3 "* ]]; } # I PATH SERVICE
 write_config () { # VERSION EXTRA-ROUTES: the first routes and more
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -81,6 +81,7 @@
   unsigned twice;
   unsigned misdirected;
   unsigned calls;     /* to the store */
+  unsigned reports;   /* writes of a status that took effect */
   unsigned expecting; /* calls that wait for a 100 response, which the platform does not send */
   bool is_down;
   int lose_next;    /* writes that are done and not answered */
@@ -264,6 +265,7 @@
   o->spec = json_incref (json_object_get (body, "spec"));
   o->status = json_incref (json_object_get (body, "status"));
   json_decref (body);
+  p.reports += is_status;
   note_event (o, false);
   if (p.lose_next > 0)
     {
@@ -378,10 +380,11 @@
 reply_stats (Request *r)
 {
   return ph_server_reply_json (r->connection, 200,
-                               json_pack ("{s:i, s:i, s:i, s:i, s:i, s:I}", "runs",
+                               json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:I}", "runs",
                                           (int)p.run_count, "twice", (int)p.twice, "misdirected",
-                                          (int)p.misdirected, "calls", (int)p.calls, "expecting",
-                                          (int)p.expecting, "revision", (json_int_t)p.revision));
+                                          (int)p.misdirected, "calls", (int)p.calls, "reports",
+                                          (int)p.reports, "expecting", (int)p.expecting, "revision",
+                                          (json_int_t)p.revision));
 }
 
 /* Upstreams. */
@@ -418,6 +421,7 @@
   struct MHD_Response *response
       = MHD_create_response_from_buffer (strlen (body), (void *)body, MHD_RESPMEM_MUST_COPY);
   const char *id = ph_server_field (r->connection, "Attempt-Id");
+  const char *deadline = ph_server_field (r->connection, "Deadline-Ms");
   char load[64];
   enum MHD_Result result;
 
@@ -426,6 +430,8 @@
   MHD_add_response_header (response, "Instance-Id", r->upstream->id);
   if (id != NULL)
     MHD_add_response_header (response, "Attempt-Id", id);
+  if (deadline != NULL)
+    MHD_add_response_header (response, "Seen-Deadline-Ms", deadline);
   if (is_run)
     MHD_add_response_header (response, "Response-Seal", r->upstream->id);
   else if (status == 503)
@@ -435,6 +441,15 @@
   return result;
 }
 
+static enum MHD_Result
+count_caller (void *user, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  (void)kind;
+  (void)value;
+  *(unsigned *)user += g_ascii_strcasecmp (name, "Caller-Service") == 0;
+  return MHD_YES;
+}
+
 static enum MHD_Result
 serve_upstream (Request *r, const char *url)
 {
@@ -443,6 +458,7 @@
   const char *target = ph_server_field (r->connection, "Target-Instance");
   const char *caller = ph_server_field (r->connection, "Caller-Service");
   const char *deadline = ph_server_field (r->connection, "Deadline-Ms");
+  unsigned callers = 0;
   char body[256];
 
   if (strcmp (url, "/health") == 0)
@@ -452,7 +468,8 @@
       p.misdirected++;
       return reply_upstream (r, 421, "", false);
     }
-  if (id == NULL || caller == NULL || deadline == NULL)
+  MHD_get_connection_values (r->connection, MHD_HEADER_KIND, count_caller, &callers);
+  if (id == NULL || callers != 1 || deadline == NULL)
     return reply_upstream (r, 400, "", false);
   if (!r->is_run)
     {
