Format a macro of the store client's test

Ruled out: nothing else differs (make format-check). Change: tests/test_store.c, one macro and its comment.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -370,8 +370,9 @@
 }
 
 #define MINUTE (60 * PH_SECOND)
-#define OUTAGE_BOUND (3 * PH_SECOND) /* the platform holds a node to its promises after this time  \
-                                      */
+#define OUTAGE_BOUND                                                                               \
+  (3 * PH_SECOND) /* the platform holds a node to its promises after this time                     \
+                   */
 
 /* Two watchers of each of two data centres hold one watch of 25 s each: 0.16 calls a second. While
  * the store is down, the back-off of 10 s allows each of their two jobs 0.1 calls a second. */
