--- a/source/node/store.c
+++ b/source/node/store.c
@@ -298,6 +298,8 @@
     ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_STORE_READ, NULL,
             "%s: the store is at revision %llu, older than what is in force here", prefix_of (job),
             (unsigned long long)revision);
+  ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STORE_READ, NULL, "%s: list read at revision %llu",
+          prefix_of (job), (unsigned long long)revision);
   job->is_listed = true;
 }
 
--- a/tests/e2e/platform.sh
+++ b/tests/e2e/platform.sh
@@ -58,6 +58,9 @@
 check "the newest version" answers_with 2 /third/x 200
 control '{"down":false}'
 check "and its upstream is in use again" wait_until 10 is_by 2 /read/x book
+# Guards against watchers that are back and do not say so (docs/incidents/mix-672108647001.md).
+is_read_again () { sed '1,/"warning".*"store-read"/d' "$work/node2.log" | grep -q '/config/: list read at'; }
+check "a watcher tells that it read the configuration again" wait_until 5 is_read_again
 
 printf 'log-level=debug\nstop-grace-ms=1500\n' >"$work/settings"
 stop_process node6 TERM
