--- a/source/core/member.c
+++ b/source/core/member.c
@@ -194,8 +194,8 @@
       ph_count (ctx, PH_COUNT_MEMBER_CHANGES, 1);
       ph_event_note (ctx, PH_EVENT_MEMBER_STATE, state_names[record->state], record->name,
                      record->incarnation);
-      ph_log (ctx, PH_LOG_INFO, PH_STEP_GOSSIP, record->name, "member %s, epoch %llu",
-              state_names[record->state], (unsigned long long)record->epoch);
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_GOSSIP, record->name, "member %s at %s, epoch %llu",
+              state_names[record->state], record->address, (unsigned long long)record->epoch);
     }
   follow_upstream (ctx, world, id);
   ph_gossip_member (ctx, world, id);
