A member is dead when a later VM has its address

Pings to the old members reached the new nodes, so that suspicion came at 6.0 s and death at 9.85 s; until then every node sent each of them a call every 2 s, which the new node refused, and left the upstream out for another 2 s. Ruled out: the health check and the registration (squamish-2 was confirmed before), the choice (it followed the records). Change: a member that comes alive ends others with its address, port and an earlier start time (core/member.c). One that is not gone refutes it. Lines of members carry their addresses. Test: test_member "a VM whose address another one has is gone": its case of the same address failed first; the merge test gives each name its own address.

--- a/source/core/member.c
+++ b/source/core/member.c
@@ -202,6 +202,31 @@
   ph_swim_state (ctx, world, id, was_live);
 }
 
+/* An address that another VM has taken over is free: the VM that had it before is gone, and was to
+ * be found out by pings that go to the new one. One that is not gone refutes this. The start times
+ * tell which is the later; with clocks that differ by more, the pings decide as before. */
+static void
+end_replaced (PhContext *ctx, PhWorld *world, PhMemberId id)
+{
+  const PhMemberRecord later = ph_member_get (&world->members, id)->record;
+  PhMemberId at = { 0 };
+
+  while ((at = ph_member_next (&world->members, at)).v != 0)
+    {
+      const PhMember *member = ph_member_get (&world->members, at);
+      PhMemberRecord record = member->record;
+
+      if (at.v == id.v || member->is_self || !is_live (&record) || record.epoch >= later.epoch
+          || record.control_port != later.control_port
+          || strcmp (record.address, later.address) != 0)
+        continue;
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_GOSSIP, record.name, "its address %s is that of %s now",
+              record.address, later.name);
+      record.state = PH_MEMBER_DEAD;
+      ph_member_merge (ctx, world, &record);
+    }
+}
+
 /* A predecessor with this VM name had a later wall clock: takes an epoch above it, or this process
  * would be ignored. Nodes may know different predecessors, so that it can take a few steps; two
  * processes that run with one name would raise it without end, so that EPOCH_RAISES within
@@ -264,6 +289,7 @@
 {
   PhMemberId id;
   PhMember *member;
+  bool is_joining;
   int order;
 
   if (!is_valid (record))
@@ -288,7 +314,11 @@
       ph_swim_accuse (ctx, world, id, record);
       return false;
     }
+  is_joining = record->state == PH_MEMBER_ALIVE
+               && (!is_live (&member->record) || member->record.epoch != record->epoch);
   take_record (ctx, world, id, record);
+  if (is_joining)
+    end_replaced (ctx, world, id);
   return true;
 }
 
@@ -306,7 +336,8 @@
   record->incarnation++;
   if (world->is_stopping)
     record->state = PH_MEMBER_LEFT;
-  /* One that does not take calls yet would be tried by every node, and then left out for a while. */
+  /* One that does not take calls yet would be tried by every node, and then left out for a while.
+   */
   record->has_upstream = upstream != NULL && ph_registration_is_open (world);
   if (upstream != NULL)
     {
--- a/source/core/trace.c
+++ b/source/core/trace.c
@@ -80,7 +80,8 @@
   if (attempt->is_local && wait > 0)
     ph_count (ctx, PH_COUNT_QUEUED, 1);
   ph_event_call (ctx, attempt->is_local ? PH_EVENT_ATTEMPT_STARTED : PH_EVENT_UPSTREAM_CHOSEN,
-                 world, call_of (world, attempt), ph_trace_peer (world, attempt), PH_REASON_NONE, wait);
+                 world, call_of (world, attempt), ph_trace_peer (world, attempt), PH_REASON_NONE,
+                 wait);
 }
 
 void
@@ -107,8 +108,8 @@
 
   if (call->origin == PH_ORIGIN_CALLER)
     ph_count_time (ctx, PH_HISTOGRAM_CALL, ctx->now - call->opened_at);
-  ph_event_call (ctx, PH_EVENT_RESPONSE, world, call, ph_trace_peer (world, attempt), PH_REASON_NONE,
-                 ctx->now - attempt->started_at);
+  ph_event_call (ctx, PH_EVENT_RESPONSE, world, call, ph_trace_peer (world, attempt),
+                 PH_REASON_NONE, ctx->now - attempt->started_at);
 }
 
 void
@@ -117,9 +118,9 @@
   ph_count (ctx, is_whole ? PH_COUNT_CALLS_WHOLE : PH_COUNT_CALLS_CUT, 1);
   if (attempt->is_local)
     ph_count_time (ctx, PH_HISTOGRAM_UPSTREAM, ctx->now - attempt->started_at);
-  ph_event_call (ctx, PH_EVENT_CALL_FINISHED, world, call_of (world, attempt),
-                 ph_trace_peer (world, attempt), is_whole ? PH_REASON_NONE : PH_REASON_CONNECTION_LOST,
-                 ctx->now - attempt->started_at);
+  ph_event_call (
+      ctx, PH_EVENT_CALL_FINISHED, world, call_of (world, attempt), ph_trace_peer (world, attempt),
+      is_whole ? PH_REASON_NONE : PH_REASON_CONNECTION_LOST, ctx->now - attempt->started_at);
 }
 
 void
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -41,11 +41,20 @@
   r.name[0] = (char)('a' + ph_random_below (random, 3));
   /* What a process says of itself is the same in all records of one incarnation. */
   r.control_port = (uint16_t)(r.epoch * 100 + r.incarnation);
+  r.address[0] = r.name[0]; /* no two VMs have one address */
   r.has_upstream = r.incarnation > 1;
   ph_text_copy (r.service, sizeof r.service, "team/service");
   return r;
 }
 
+static bool
+is_live (const PhWorld *world, const char *name)
+{
+  const PhMember *member = ph_member_get (&world->members, ph_member_find (world, name));
+
+  return member != NULL && member->record.state < PH_MEMBER_DEAD;
+}
+
 /* Naive version of the merge: the greatest record of a name wins. */
 static const PhMemberRecord *
 find_greatest (const PhMemberRecord *records, char name)
@@ -276,7 +285,55 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  const char *address; /* of a VM that joins; the one before is at 10.0.0.5, port 7, epoch 100 */
+  uint64_t epoch;
+  uint16_t port;
+  bool is_live; /* the one before, after that */
+} replace_cases[] = {
+  { "another address", "10.0.0.6", 200, 7, true },
+  { "another port", "10.0.0.5", 200, 8, true },
+  { "the same address", "10.0.0.5", 200, 7, false },
+  { "the same address, an earlier clock", "10.0.0.5", 50, 7, true },
+};
+
+/* Guards against calls to a VM that is gone and whose address a new VM has: for 8 s each node sent
+ * one there every 2 s, and the new VM refused it. */
+static void
+test_replaced (void)
+{
+  for (size_t i = 0; i < PH_COUNT (replace_cases); i++)
+    {
+      PhContext ctx = { .now = PH_SECOND };
+      PhWorld *world = make_world (&ctx);
+      PhMemberRecord old = { .name = "old",
+                             .epoch = 100,
+                             .address = "10.0.0.5",
+                             .control_port = 7,
+                             .data_centre = "there" };
+      PhMemberRecord later = old;
+
+      ph_text_copy (later.name, sizeof later.name, "later");
+      ph_text_copy (later.address, sizeof later.address, replace_cases[i].address);
+      later.control_port = replace_cases[i].port;
+      later.epoch = replace_cases[i].epoch;
+      ph_member_merge (&ctx, world, &old);
+      ph_member_merge (&ctx, world, &later);
+      if (is_live (world, "old") != replace_cases[i].is_live || !is_live (world, "later"))
+        CU_FAIL (replace_cases[i].name);
+      /* One that is not gone says so. */
+      old.incarnation++;
+      ph_member_merge (&ctx, world, &old);
+      CU_ASSERT_TRUE (is_live (world, "old"));
+      CU_ASSERT_TRUE (is_live (world, "later"));
+      ph_world_drop (&ctx, world);
+    }
+}
+
 static const PhTest tests[] = {
+  { "a VM whose address another one has is gone", test_replaced },
   { "an earlier clock does not hide a process", test_earlier_clock },
   { "an answer is no larger than the ping", test_answer_size },
   { "merge agrees with a naive version in any order", test_merge_order },
