Compare the address of a member before copying its record

Cause: reading the diff: every joining member copied the records of all others, about 500 bytes each; at 3,200 members that start together this is 10 million copies. Change: only the record of a member that has to end is copied; plainer comments. No change of behaviour.

--- a/source/core/member.c
+++ b/source/core/member.c
@@ -202,9 +202,9 @@
   ph_swim_state (ctx, world, id, was_live);
 }
 
-/* An address that another VM has taken over is free: the VM that had it before is gone, and was to
- * be found out by pings that go to the new one. One that is not gone refutes this. The start times
- * tell which is the later; with clocks that differ by more, the pings decide as before. */
+/* Ends the members whose address a later VM has: they are gone, but the pings that would find this
+ * out reach the later VM. One that is not gone refutes it. The start times tell which is the later;
+ * where clocks differ by more, the pings decide after all. */
 static void
 end_replaced (PhContext *ctx, PhWorld *world, PhMemberId id)
 {
@@ -214,12 +214,14 @@
   while ((at = ph_member_next (&world->members, at)).v != 0)
     {
       const PhMember *member = ph_member_get (&world->members, at);
-      PhMemberRecord record = member->record;
+      PhMemberRecord record;
 
-      if (at.v == id.v || member->is_self || !is_live (&record) || record.epoch >= later.epoch
-          || record.control_port != later.control_port
-          || strcmp (record.address, later.address) != 0)
+      if (at.v == id.v || member->is_self || !is_live (&member->record)
+          || member->record.epoch >= later.epoch
+          || member->record.control_port != later.control_port
+          || strcmp (member->record.address, later.address) != 0)
         continue;
+      record = member->record;
       ph_log (ctx, PH_LOG_INFO, PH_STEP_GOSSIP, record.name, "its address %s is that of %s now",
               record.address, later.name);
       record.state = PH_MEMBER_DEAD;
@@ -336,8 +338,7 @@
   record->incarnation++;
   if (world->is_stopping)
     record->state = PH_MEMBER_LEFT;
-  /* One that does not take calls yet would be tried by every node, and then left out for a while.
-   */
+  /* Every node would try one that does not take calls yet, and then leave it out for a while. */
   record->has_upstream = upstream != NULL && ph_registration_is_open (world);
   if (upstream != NULL)
     {
