--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -528,7 +528,7 @@
   { "no response", false, 0, 1 },
 };
 
-/* Guards against a cold start that ends never: the one slot of its first level was held by a slow
+/* Guards against a cold start that never ends: the one slot of its first level was held by a slow
  * reader of a large response, and 2,000 calls were refused for the 30 s that it read. */
 static void
 test_held (void)
