--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -441,10 +441,160 @@
   stop_bed ();
 }
 
+/* Moves that a platform orders with a duration, at the rates and times of its deployments. */
+
+#define ORDER_DURATION (14 * PH_SECOND)
+#define ORDER_CALLS_PER_S 84
+#define ORDER_EXPOSURE_SHARE 0.1 /* of all calls of the service until the deadline, */
+#define ORDER_EXPOSURE_EXTRA 50  /* and so many more: the platform's bound */
+#define ORDER_WORK (120 * PH_MS)
+#define ORDER_BUSY_SHARE 0.15 /* calls that meet a VM with busy neighbours, */
+#define ORDER_BUSY_FACTOR 4   /* and how much slower they are */
+
+typedef struct
+{
+  const char *name;
+  double failures;  /* of the new version, while it is bad */
+  uint32_t factor;  /* of its times */
+  PhTime bad_after; /* since the order */
+  double bad_from;  /* share of the calls */
+  uint32_t route;
+  PhMoveOutcome outcome;
+} OrderCase;
+
+static const OrderCase order_cases[] = {
+  { "good", 0, 1, 0, 0, NO_ROUTE, PH_MOVE_DONE },
+  { "fails", 1, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
+  { "fails by half", 0.5, 1, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
+  { "is slow", 0, 8, 0, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
+  { "fails late", 0.5, 1, 3 * PH_SECOND, 0, NO_ROUTE, PH_MOVE_TAKEN_BACK },
+  { "fails under load", 0.5, 1, 0, 0.2, NO_ROUTE, PH_MOVE_TAKEN_BACK },
+  { "fails on one route", 0.5, 1, 0, 0, 0, PH_MOVE_TAKEN_BACK },
+};
+
+static void
+order_move (void)
+{
+  PhObject object = { .path = PATH, .revision = 1, .kind = PH_OBJECT_MOVE };
+
+  ph_text_copy (object.spec.move.service, sizeof object.spec.move.service, SERVICE);
+  ph_text_copy (object.spec.move.to, sizeof object.spec.move.to, "v2");
+  object.spec.move.duration = ORDER_DURATION;
+  for (uint32_t i = 0; i < NODES; i++)
+    ph_move_config_changed (&bed.ctx[i], bed.worlds[i], &object);
+}
+
+/* One call of a service with two routes. Returns whether it went to the new version. */
+static bool
+run_ordered_call (const OrderCase *c, PhTime since)
+{
+  const PhService *service = service_at (ph_random_below (&bed.random, NODES));
+  bool is_new = ph_random_unit (&bed.random) < service->moved_share;
+  uint32_t route = ph_random_below (&bed.random, 2);
+  uint32_t node = is_new ? ph_random_below (&bed.random, NEW_NODES)
+                         : NEW_NODES + ph_random_below (&bed.random, NODES - NEW_NODES);
+  bool is_hit = is_new && since >= c->bad_after && service->moved_share >= c->bad_from
+                && (c->route == NO_ROUTE || c->route == route);
+  PhTime time = ORDER_WORK * 7 / 10 + ph_random_below (&bed.random, ORDER_WORK * 6 / 10);
+
+  if (ph_random_unit (&bed.random) < ORDER_BUSY_SHARE)
+    time *= ORDER_BUSY_FACTOR;
+  if (is_hit)
+    time *= c->factor;
+  ph_move_observe (&bed.ctx[node], bed.worlds[node], route, time,
+                   is_hit && ph_random_unit (&bed.random) < c->failures);
+  return is_new;
+}
+
+/* Guards against a good version that has no time for its stages and is taken back at the deadline
+ * (fleetbench inpas-malla trouble-1), and against a bad one that gets more than the platform's
+ * bound. */
+static void
+test_orders (void)
+{
+  for (size_t i = 0; i < PH_COUNT (order_cases); i++)
+    for (uint64_t seed = 1; seed <= 10; seed++)
+      {
+        const OrderCase *c = &order_cases[i];
+        uint32_t exposed = 0;
+        uint32_t calls = 0;
+        PhMoveReason reason;
+
+        start_bed (seed, 5);
+        order_move ();
+        for (PhTime since = 0; since < ORDER_DURATION - TICK; since += TICK)
+          {
+            run_tick (NODES);
+            if (ph_random_unit (&bed.random) * PH_SECOND >= (double)ORDER_CALLS_PER_S * TICK)
+              continue;
+            calls++;
+            exposed += run_ordered_call (c, since);
+          }
+        if (ph_move_outcome (&bed.ctx[7], find_move (7, PATH), &reason) != c->outcome)
+          {
+            printf ("%s, seed %llu: %s, stage %u\n", c->name, (unsigned long long)seed,
+                    ph_move_reason_name (reason), find_move (7, PATH)->stage);
+            CU_FAIL ("another outcome was expected");
+          }
+        if (c->outcome == PH_MOVE_TAKEN_BACK
+            && exposed > ORDER_EXPOSURE_SHARE * calls + ORDER_EXPOSURE_EXTRA)
+          {
+            printf ("%s, seed %llu: %u of %u calls\n", c->name, (unsigned long long)seed, exposed,
+                    calls);
+            CU_FAIL ("too many calls went to a bad version");
+          }
+        stop_bed ();
+      }
+}
+
+/* Guards against a report in the object that starts the move anew, and against a node that learns
+ * of a move late and takes another revision for its order. */
+static void
+test_reports (void)
+{
+  PhObject object = { .path = PATH, .revision = 5, .kind = PH_OBJECT_MOVE };
+  PhMoveSpec *spec = &object.spec.move;
+  const PhMoveFlag flag = { .path = PATH, .revision = 5, .stage = 2 };
+
+  start_bed (1, 0);
+  ph_text_copy (spec->service, sizeof spec->service, SERVICE);
+  ph_text_copy (spec->to, sizeof spec->to, "v2");
+  spec->duration = ORDER_DURATION;
+  spec->created_revision = 2;
+  ph_move_config_changed (&bed.ctx[0], bed.worlds[0], &object);
+  CU_ASSERT_EQUAL (find_move (0, PATH)->revision, 5);
+  ph_move_merge (&bed.ctx[0], bed.worlds[0], &flag);
+  object.revision = 9;
+  spec->is_reported = true;
+  ph_move_config_changed (&bed.ctx[0], bed.worlds[0], &object);
+  CU_ASSERT_EQUAL (find_move (0, PATH)->revision, 5);
+  CU_ASSERT_EQUAL (find_move (0, PATH)->stage, 2);
+  CU_ASSERT_TRUE (find_move (0, PATH)->is_open_written);
+  ph_move_config_changed (&bed.ctx[1], bed.worlds[1], &object); /* late */
+  CU_ASSERT_EQUAL (find_move (1, PATH)->revision, 2);
+  ph_move_merge (&bed.ctx[1], bed.worlds[1], &flag);
+  CU_ASSERT_EQUAL (find_move (1, PATH)->stage, 2);
+  CU_ASSERT_TRUE (find_move (1, PATH)->has_object);
+  spec->reported = PH_MOVE_DONE;
+  object.revision = 11;
+  ph_move_config_changed (&bed.ctx[1], bed.worlds[1], &object);
+  CU_ASSERT_EQUAL (find_move (1, PATH)->stage, PH_MOVE_STAGES);
+  object.revision = 13; /* a new order on the same object */
+  ph_text_copy (spec->to, sizeof spec->to, "v3");
+  spec->is_reported = false;
+  ph_move_config_changed (&bed.ctx[1], bed.worlds[1], &object);
+  CU_ASSERT_EQUAL (find_move (1, PATH)->stage, 0);
+  CU_ASSERT_EQUAL (find_move (1, PATH)->revision, 13);
+  CU_ASSERT_FALSE (find_move (1, PATH)->is_written);
+  stop_bed ();
+}
+
 static const PhTest tests[] = {
   { "bad versions are taken back and good ones completed", test_cases },
   { "moves that are changed, withdrawn or second", test_changes },
   { "calls of a cold start do not count", test_cold_start },
   { "no stage is passed without calls", test_no_evidence },
+  { "moves with a duration", test_orders },
+  { "reports in the object itself", test_reports },
 };
 PH_TEST_SUITE (move, tests)
