--- a/include/pollenhitch/command.h
+++ b/include/pollenhitch/command.h
@@ -31,7 +31,7 @@
 ph_command_run (const char *name, const PhCommand *commands, size_t count, int argc, char **argv);
 
 int ph_command_node (int argc, char **argv);
-int ph_command_platform_node (int argc, char **argv);
+int ph_command_platform (int argc, char **argv);
 int ph_command_apply (int argc, char **argv);
 int ph_command_diff (int argc, char **argv);
 int ph_command_get (int argc, char **argv);
--- a/source/main.c
+++ b/source/main.c
@@ -7,7 +7,7 @@
 
 static const PhCommand commands[] = {
   { "node", ph_command_node, "run the node beside an upstream VM" },
-  { "platform-node", ph_command_platform_node, "run the node on the object platform" },
+  { "platform", ph_command_platform, "run the node on the object platform" },
   { "apply", ph_command_apply, "create or change objects in the store" },
   { "diff", ph_command_diff, "print what apply would change" },
   { "get", ph_command_get, "print an object, or the objects under a path" },
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -180,6 +180,8 @@
   ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STOP, NULL, "planned stop");
   node->stop_at = node->ctx.now;
   ph_world_stop (&node->ctx, node->world);
+  /* The settings may have changed since the start. */
+  ev_timer_set (&node->stop_poll, (double)node->settings.stop_grace_ms / 1e3, STOP_POLL);
   ev_timer_start (loop, &node->stop_poll);
 }
 
@@ -250,8 +252,7 @@
   node->tick.data = node;
   ev_prepare_start (node->loop, &node->tick);
   ev_timer_init (&node->wake, on_wake, 0, 0);
-  ev_timer_init (&node->stop_poll, on_stop_poll, (double)node->settings.stop_grace_ms / 1e3,
-                 STOP_POLL);
+  ev_timer_init (&node->stop_poll, on_stop_poll, 0, STOP_POLL);
   node->stop_poll.data = node;
   for (int i = 0; i < 2; i++)
     {
