--- a/source/core/move.c
+++ b/source/core/move.c
@@ -40,6 +40,10 @@
  * does not tell 1% of failures from 8%. */
 #define STAGE_CALLS 50
 
+/* The new version had no call although so many were to be expected: by chance in exp (-5) = 0.7% of
+ * moves. Its upstreams get none, or their counts do not arrive, and the stage goes on. */
+#define CALLS_MISSED 5.0
+
 /* The sum of log likelihood ratios at which a version is bad. A test raises a false alarm after
  * exp (16) = 9 million calls on average or later (Lorden 1971). */
 #define ALARM 16.0
@@ -706,9 +710,33 @@
   return is_listed (judges, count);
 }
 
+/* Calls that the new version should have had until a part of the duration, from those of the old
+ * one and the shares of the stages. */
+static double
+expected_calls (const PhMove *move, double part, uint32_t old_calls)
+{
+  double begin = 0;
+  double old_weight = 0;
+  double new_weight = 0;
+
+  for (uint32_t i = 0; i <= move->stage && i < ORDER_STAGES; i++)
+    {
+      double end = i < move->stage ? order_stages[i].until : part;
+
+      new_weight += order_stages[i].share * (end - begin);
+      old_weight += (1 - order_stages[i].share) * (end - begin);
+      begin = end;
+    }
+  return old_weight > 0 ? old_calls * new_weight / old_weight : 0;
+}
+
 /* Whether the present stage has lasted, and has seen, enough. */
 static bool
-is_stage_over (const PhContext *ctx, const PhWorld *world, const PhMove *move, uint32_t calls)
+is_stage_over (const PhContext *ctx,
+               const PhWorld *world,
+               const PhMove *move,
+               uint32_t calls,
+               uint32_t old_calls)
 {
   double part;
 
@@ -717,7 +745,8 @@
       part = (double)(ctx->now - move->begun_at) / (double)move->spec.duration;
       if (!is_judge (world, move))
         part -= JUDGE_LATE;
-      return move->stage < ORDER_STAGES && calls > 0 && part >= order_stages[move->stage].until;
+      return move->stage < ORDER_STAGES && part >= order_stages[move->stage].until
+             && (calls > 0 || expected_calls (move, part, old_calls) < CALLS_MISSED);
     }
   return ctx->now - move->stage_at >= stage_time (move) && calls >= move->stage_calls + STAGE_CALLS;
 }
@@ -746,7 +775,8 @@
     set_stage (ctx, move, stage, calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTES && !move->is_bad; i++)
     judge_route (ctx, move, i, &control[i], &counts[i]);
-  if (!move->is_bad && is_stage_over (ctx, world, move, calls) && !is_in_doubt (move))
+  if (!move->is_bad && is_stage_over (ctx, world, move, calls, sum_calls (control))
+      && !is_in_doubt (move))
     set_stage (ctx, move, next_stage (move), calls);
   if (!move->is_bad && move->stage == stage)
     return;
