--- a/source/core/call.c
+++ b/source/core/call.c
@@ -608,6 +608,16 @@
     call->hedge_at = ctx->now + after;
 }
 
+/* Whether an upstream may get a hedge. The bytes of a large response cost more on the way between
+ * data centres than the wait for the first attempt. */
+static bool
+may_hedge_at (const PhWorld *world, const PhCall *call, PhUpstreamId id)
+{
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, id);
+
+  return upstream != NULL && (!call->is_bulk || upstream->data_centre.v == world->data_centre.v);
+}
+
 static void
 start_hedge (PhContext *ctx, PhWorld *world, PhCallId id)
 {
@@ -618,8 +628,7 @@
   if (call->state != PH_CALL_TRYING || call->open_attempts != 1 || !may_resend (call))
     return;
   upstream = world->choose (world->choose_user, ctx, world, service, call);
-  if (ph_upstream_get (&world->upstreams, upstream) == NULL
-      || !ph_retry_take (&service->retry, PH_RETRY_HEDGE))
+  if (!may_hedge_at (world, call, upstream) || !ph_retry_take (&service->retry, PH_RETRY_HEDGE))
     return;
   call->hedge = add_attempt (ctx, world, id, upstream);
   if (call->hedge.v == 0)
