--- a/include/pollenhitch/admission.h
+++ b/include/pollenhitch/admission.h
@@ -33,6 +33,7 @@
   void *order_user;
   bool drops_early;           /* refuse attempts that are estimated to miss their start */
   bool keeps_limit_on_errors; /* failed calls say nothing of the upstream's load; sheds do */
+  double shed_floor;          /* see PhLimit; 0 where the announced slots are not relied on */
 } PhAdmissionPolicy;
 
 typedef struct
--- a/include/pollenhitch/limit.h
+++ b/include/pollenhitch/limit.h
@@ -48,6 +48,7 @@
   double error_ratio;   /* smoothed over calls */
   PhTime decreased_at;  /* an earlier start says nothing of the decreased limit */
   double shed_at;       /* the limit at the last shed, 0 for none */
+  double shed_floor;    /* part of max that sheds leave while the upstream serves most calls */
 
   /* Of the policy: one window of samples. */
   uint32_t window_count;
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -66,6 +66,7 @@
   PhLimitFunc adapt; /* of the local upstream's limit; NULL for ph_limit_gradient */
   void *adapt_user;
   bool keeps_limit_on_errors; /* see PhAdmissionPolicy */
+  double shed_floor;          /* see PhAdmissionPolicy */
   PhChooseFunc choose;        /* NULL for ph_choose_two */
   void *choose_user;
 } PhWorldOptions;
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -165,6 +165,7 @@
       admission->in_flight = 0;
     }
   ph_limit_reset (&admission->limit, max, max);
+  admission->limit.shed_floor = admission->policy.shed_floor;
   ph_admission_begin_cold (ctx, world, upstream != NULL && upstream->state == PH_UPSTREAM_COLD);
   admission->release_interval = (PhEstimate){ 0 };
   admission->was_waiting = false;
--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -18,6 +18,10 @@
 
 #define FAILURE_DECREASE 0.7
 
+/* Above this share of failures an upstream is out of room, and sheds lower the limit to 1. One that
+ * sheds 4 in 10 calls whatever its load is sheds as many at a lower limit. */
+#define SHED_RATIO_FULL 0.6
+
 /* For this time after a shed, growth near the limit at which it came is so much slower: the
  * upstream is not driven into shedding several times a second, and a limit that has risen is found
  * soon. */
@@ -95,13 +99,19 @@
 static void
 note_failure (PhLimit *limit, const PhSample *sample)
 {
+  double floor = 1;
+
   if (sample->started_at < limit->decreased_at)
     return;
   if (sample->outcome == PH_OUTCOME_ERROR && limit->error_ratio <= ERROR_TOLERANCE)
     return;
   if (sample->outcome == PH_OUTCOME_SHED)
-    limit->shed_at = limit->value;
-  set_value (limit, limit->value * FAILURE_DECREASE);
+    {
+      if (limit->error_ratio <= SHED_RATIO_FULL)
+        floor = fmin (limit->value, limit->shed_floor * limit->max);
+      limit->shed_at = limit->value;
+    }
+  set_value (limit, fmax (floor, limit->value * FAILURE_DECREASE));
   limit->decreased_at = sample->now;
 }
 
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -128,6 +128,7 @@
     goto fail;
   ph_admission_init (ctx, world);
   world->admission.policy.keeps_limit_on_errors = opts->keeps_limit_on_errors;
+  world->admission.policy.shed_floor = opts->shed_floor;
   if (opts->adapt != NULL)
     {
       world->admission.policy.adapt = opts->adapt;
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -220,6 +220,7 @@
                           .service = adapter->service,
                           .adapt = adapter->adapt,
                           .keeps_limit_on_errors = adapter->keeps_limit_on_errors,
+                          .shed_floor = adapter->shed_floor,
                           .decode = adapter->decode != NULL ? adapter->decode : ph_object_decode,
                           .decode_user = adapter->decode_user };
 
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -74,6 +74,7 @@
   bool needs_routes;          /* the node is not ready before routes are in force */
   PhLimitFunc adapt;          /* of the limit beside the upstream */
   bool keeps_limit_on_errors; /* see PhAdmissionPolicy */
+  double shed_floor;          /* see PhAdmissionPolicy */
   const char *const *regions; /* pairs of data centre and region, NULL-terminated */
   const char *service;        /* of the local upstream, as "team/service" */
 } PhAdapter;
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -36,6 +36,11 @@
   { "many errors lower it", ph_limit_gradient, MAX, 10000, 10000, 1, 4, 2000, MAX, 2,
     PH_OUTCOME_ERROR },
   { "sheds lower it", ph_limit_gradient, MAX, 10000, 10000, 1, 7, 2000, MAX, 20, PH_OUTCOME_SHED },
+  /* fleetbench chre-mesh-grown scale-1: all upstreams shed 4 in 10 calls, the limits fell to 1, and
+   * three quarters of the calls were refused although the VMs had room. */
+  { "sheds by chance leave half", ph_limit_fixed, MAX, 10000, 10000, MAX / 2.0, MAX, 2000, MAX, 3,
+    PH_OUTCOME_SHED },
+  { "every call is shed", ph_limit_fixed, MAX, 10000, 10000, 1, 1, 200, MAX, 1, PH_OUTCOME_SHED },
   { "recovers after one shed", ph_limit_gradient, MAX, 10000, 10000, 8, MAX, 2000, MAX, 1500,
     PH_OUTCOME_SHED },
   { "only failures", ph_limit_gradient, MAX, 100, 100, 1, 1, 200, MAX, 1, PH_OUTCOME_ERROR },
@@ -54,6 +59,7 @@
       PhTime now = PH_SECOND;
 
       ph_limit_reset (&limit, limit_cases[i].start, MAX);
+      limit.shed_floor = limit_cases[i].adapt == ph_limit_fixed ? 0.5 : 0;
       for (uint32_t n = 1; n <= limit_cases[i].count; n++)
         {
           bool is_failed = limit_cases[i].fail_every > 0 && n % limit_cases[i].fail_every == 0;
