--- a/source/core/limit.c
+++ b/source/core/limit.c
@@ -20,7 +20,7 @@
 
 /* Above this share of failures an upstream is out of room, and sheds lower the limit to 1. One that
  * sheds 4 in 10 calls whatever its load is sheds as many at a lower limit. */
-#define SHED_RATIO_FULL 0.6
+#define SHED_RATIO_FULL 0.85
 
 /* For this time after a shed, growth near the limit at which it came is so much slower: the
  * upstream is not driven into shedding several times a second, and a limit that has risen is found
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -80,6 +80,44 @@
     }
 }
 
+/* Upstreams that shed calls by chance, at any load. */
+static const struct
+{
+  double shed_ratio;
+  double min; /* least limit in 20,000 calls */
+} chance_cases[] = { { 0.2, MAX / 2.0 }, { 0.4, MAX / 2.0 }, { 0.5, MAX / 2.0 } };
+
+/* Guards against a limit that falls to 1 after some sheds in a row (fleetbench chre-mesh-grown
+ * scale-1, 16 to 22 s). */
+static void
+test_chance (void)
+{
+  for (size_t i = 0; i < PH_COUNT (chance_cases); i++)
+    {
+      double least = MAX;
+      PhRandom random;
+      PhLimit limit;
+
+      ph_random_seed (&random, i + 1);
+      ph_limit_reset (&limit, MAX, MAX);
+      limit.shed_floor = 0.5;
+      for (PhTime now = PH_SECOND; now < 401 * PH_SECOND; now += 20 * PH_MS)
+        {
+          bool is_shed = ph_random_unit (&random) < chance_cases[i].shed_ratio;
+          PhSample sample
+              = sample_at (now, 10 * PH_MS, is_shed ? PH_OUTCOME_SHED : PH_OUTCOME_OK, 4);
+
+          ph_limit_sample (&limit, ph_limit_fixed, NULL, &sample);
+          least = limit.value < least ? limit.value : least;
+        }
+      if (least < chance_cases[i].min)
+        {
+          printf ("%g of the calls shed: %.2f\n", chance_cases[i].shed_ratio, least);
+          CU_FAIL ("the limit fell");
+        }
+    }
+}
+
 /* Guards against an upstream that looks fast because it fails fast, and against an estimate that
  * refuses every call for ever after a slow time. */
 static void
@@ -153,6 +191,7 @@
 
 static const PhTest tests[] = {
   { "limit after a run of samples", test_limit_cases },
+  { "calls shed by chance", test_chance },
   { "estimate of the latency", test_latency },
   { "cold start", test_cold_cases },
 };
