--- a/source/wire/control.c
+++ b/source/wire/control.c
@@ -4,6 +4,7 @@
 #include <rpc/rpc_msg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
 
 _Static_assert(sizeof ((ph_x_evidence *)0)->counts == sizeof ((PhMoveEvidence *)0)->routes,
                "counts in control.x are those of PhMoveEvidence");
@@ -11,7 +12,8 @@
 #define VERIFIER_FLAVOR 0x50480001
 #define VERIFIER_MAX MAX_AUTH_BYTES
 #define CODE_SIZE 32
-#define STATUS_SIZE 4 /* between the verifier and the body of a reply */
+#define PACK_SIZE_MIN 2048 /* texts that fit in a datagram are not worth the time */
+#define STATUS_SIZE 4      /* between the verifier and the body of a reply */
 
 /* Procedure of each call, and whether the message is a reply. */
 static const struct
@@ -86,6 +88,56 @@
   x->upstream = upstream;
 }
 
+/* Replaces the text of an object by its compressed form where that is smaller. */
+static void
+pack_text (ph_x_object *x, char **packed)
+{
+  uLong size = x->text.text_len;
+  uLongf packed_size = compressBound (size);
+
+  if (size < PACK_SIZE_MIN)
+    return;
+  *packed = malloc (packed_size);
+  if (*packed == NULL
+      || compress2 ((Bytef *)*packed, &packed_size, (const Bytef *)x->text.text_val, size,
+                    Z_BEST_SPEED)
+             != Z_OK
+      || packed_size >= size)
+    return;
+  x->packed_from = (u_int)size;
+  x->text.text_val = *packed;
+  x->text.text_len = (u_int)packed_size;
+}
+
+/* Replaces a compressed text by its plain form. room is what the texts of a message may take yet: a
+ * small message must not grow without bound. */
+static bool
+unpack_text (ph_x_object *x, size_t *room)
+{
+  uLongf size = x->packed_from;
+  char *text;
+
+  if (x->packed_from == 0)
+    return true;
+  if (x->packed_from > *room)
+    return false;
+  *room -= x->packed_from;
+  text = malloc (size);
+  if (text == NULL
+      || uncompress ((Bytef *)text, &size, (const Bytef *)x->text.text_val, x->text.text_len)
+             != Z_OK
+      || size != x->packed_from)
+    {
+      free (text);
+      return false;
+    }
+  free (x->text.text_val);
+  x->text.text_val = text;
+  x->text.text_len = (u_int)size;
+  x->packed_from = 0;
+  return true;
+}
+
 static void
 fill_object (const PhMessageObject *object, ph_x_object *x)
 {
@@ -118,11 +170,15 @@
   ph_x_move moves[PH_MOVES_MAX];
   ph_x_evidence evidence;
   ph_x_upstream *upstreams;
+  char **packed; /* compressed texts of the objects, NULL for none */
 } Parts;
 
 static void
 clear_parts (Parts *parts)
 {
+  for (u_int i = 0; parts->packed != NULL && i < parts->body.objects.objects_len; i++)
+    free (parts->packed[i]);
+  free (parts->packed);
   free (parts->body.records.records_val);
   free (parts->body.objects.objects_val);
   free (parts->upstreams);
@@ -160,8 +216,9 @@
   parts->upstreams = calloc (message->record_count + 1, sizeof *parts->upstreams);
   body->records.records_val = calloc (message->record_count + 1, sizeof (ph_x_record));
   body->objects.objects_val = calloc (message->object_count + 1, sizeof (ph_x_object));
+  parts->packed = calloc (message->object_count + 1, sizeof *parts->packed);
   if (parts->upstreams == NULL || body->records.records_val == NULL
-      || body->objects.objects_val == NULL)
+      || body->objects.objects_val == NULL || parts->packed == NULL)
     return false;
   body->kind = message->kind;
   body->config_revision = message->config_revision;
@@ -266,6 +323,8 @@
       ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_GOSSIP, NULL, "no memory for a message");
       goto done;
     }
+  for (u_int i = 0; i < parts.body.objects.objects_len; i++)
+    pack_text (&parts.body.objects.objects_val[i], &parts.packed[i]);
   xdrmem_create (&xdrs, (char *)buffer, (u_int)size, XDR_ENCODE);
   code_at = encode_header (&xdrs, message);
   if (code_at == 0 || !xdr_ph_x_body (&xdrs, &parts.body))
@@ -394,6 +453,7 @@
 take_rows (PhWireMessage *out)
 {
   const ph_x_body *body = &out->body;
+  size_t room = PH_WIRE_RECORD_MAX;
   u_int records = body->records.records_len;
   u_int objects = body->objects.objects_len;
 
@@ -410,8 +470,10 @@
     }
   for (u_int i = 0; i < objects; i++)
     {
-      const ph_x_object *x = &body->objects.objects_val[i];
+      ph_x_object *x = &body->objects.objects_val[i];
 
+      if (!unpack_text (x, &room))
+        return false;
       out->objects[i] = (PhMessageObject){ .path = x->path,
                                            .revision = x->revision,
                                            .is_deleted = x->is_deleted,
--- a/source/wire/control.h
+++ b/source/wire/control.h
@@ -35,7 +35,7 @@
 /* ph_wire_key_parse: read a key of PH_WIRE_KEY_MIN to PH_WIRE_KEY_MAX bytes in hexadecimal. */
 bool ph_wire_key_parse (const char *text, PhWireKey *key, PhError *err);
 
-/* ph_wire_size: bytes of the encoded message. */
+/* ph_wire_size: bound on the bytes of the encoded message, whose large texts may be compressed. */
 size_t ph_wire_size (const PhMessage *message);
 
 /* ph_wire_encode: returns the bytes written, or 0 with err set when the message does not fit. */
--- a/source/wire/control.x
+++ b/source/wire/control.x
@@ -38,6 +38,7 @@
   unsigned hyper revision;
   bool is_deleted;
   bool is_stub;
+  unsigned int packed_from; /* size of the text before its compression (RFC 1950), 0 for none */
   opaque text<1048576>;
 };
 
--- a/source/wire/control_xdr.c
+++ b/source/wire/control_xdr.c
@@ -127,6 +127,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->path, 159))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->is_deleted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_stub))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->packed_from))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->is_deleted);
+		IXDR_PUT_BOOL(buf, objp->is_stub);
+		IXDR_PUT_U_LONG(buf, objp->packed_from);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->path, 159))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->is_deleted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_stub))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->packed_from))
+				 return FALSE;
+
+		} else {
+		objp->is_deleted = IXDR_GET_BOOL(buf);
+		objp->is_stub = IXDR_GET_BOOL(buf);
+		objp->packed_from = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->path, 159))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
@@ -135,6 +182,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_stub))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->packed_from))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
 		 return FALSE;
 	return TRUE;
--- a/source/wire/control_xdr.h
+++ b/source/wire/control_xdr.h
@@ -44,6 +44,7 @@
 	u_quad_t revision;
 	bool_t is_deleted;
 	bool_t is_stub;
+	u_int packed_from;
 	struct {
 		u_int text_len;
 		char *text_val;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -1,5 +1,7 @@
 #include "wire/control.h"
 
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "test.h"
@@ -168,7 +170,94 @@
     CU_ASSERT_EQUAL (encode (PH_MESSAGE_PUSH, &key, buffer, room), 0);
 }
 
+#define TEXT_MAX (1024u * 1024)
+
+static void
+fill_routes (char *text, uint32_t size)
+{
+  uint32_t at = 0;
+
+  while (at + 128 < size)
+    at += (uint32_t)sprintf (text + at, "\"r%u\":{\"host\":\"a.example\",\"prefix\":\"/p%u/\"},",
+                             at, at * 7);
+  memset (text + at, ' ', size - at);
+}
+
+static void
+fill_noise (char *text, uint32_t size)
+{
+  PhRandom random;
+
+  ph_random_seed (&random, 1);
+  for (uint32_t i = 0; i < size; i++)
+    text[i] = (char)ph_random_below (&random, 256);
+}
+
+typedef struct
+{
+  const char *name;
+  void (*fill) (char *text, uint32_t size);
+  uint32_t size;
+  uint32_t count; /* objects with this text */
+  size_t bound;   /* on the encoded size */
+  bool is_accepted;
+} TextCase;
+
+static const TextCase text_cases[] = {
+  { "routes of a large configuration", fill_routes, 100000, 1, 20000, true },
+  { "noise", fill_noise, 100000, 1, 102000, true },
+  { "below the size that is compressed", fill_routes, 1000, 1, 2300, true },
+  { "the largest text", fill_routes, TEXT_MAX, 1, TEXT_MAX / 5, true },
+  { "texts that are larger together than a message may be", fill_routes, TEXT_MAX, 4,
+    4 * TEXT_MAX / 5, false },
+};
+
+/* Guards against configurations that take seconds over the links of small VMs (fleetbench
+ * chre-mesh-grown trouble-1, CONFIG), and against messages that grow without bound. */
+static void
+test_texts (void)
+{
+  size_t room = 4 * TEXT_MAX + 4096;
+  uint8_t *buffer = malloc (room);
+  char *text = malloc (TEXT_MAX);
+
+  CU_ASSERT_FATAL (buffer != NULL && text != NULL);
+  for (size_t i = 0; i < PH_COUNT (text_cases); i++)
+    {
+      const TextCase *c = &text_cases[i];
+      PhMessageObject large[4];
+      PhMessage m = { .kind = PH_MESSAGE_SYNC_REPLY,
+                      .sender = "vm-2",
+                      .sync = &digests,
+                      .object_count = c->count,
+                      .objects = large,
+                      .evidence = NULL };
+      PhWireMessage in;
+      PhWireKey key;
+      size_t size;
+
+      c->fill (text, c->size);
+      for (uint32_t k = 0; k < c->count; k++)
+        large[k] = (PhMessageObject){ .path = "/o", .revision = 1, .text = text, .size = c->size };
+      CU_ASSERT_TRUE_FATAL (ph_wire_key_parse (KEY, &key, NULL));
+      size = ph_wire_encode (&key, &m, buffer, room, NULL);
+      if (size == 0 || size > c->bound || size > ph_wire_size (&m)
+          || ph_wire_decode (&key, buffer, size, &in, NULL) != c->is_accepted)
+        {
+          printf ("%s: %zu bytes\n", c->name, size);
+          CU_FAIL_FATAL ("not encoded as it should be");
+        }
+      if (c->is_accepted)
+        CU_ASSERT_TRUE (in.message.objects[0].size == c->size
+                        && memcmp (in.message.objects[0].text, text, c->size) == 0);
+      ph_wire_clear (&in);
+    }
+  free (buffer);
+  free (text);
+}
+
 static const PhTest tests[] = {
+  { "large texts", test_texts },
   { "messages survive encoding", test_round_trip },
   { "changed, cut and foreign messages are refused", test_tampering },
   { "a message that does not fit is not encoded", test_too_small },
