--- a/include/pollenhitch/member.h
+++ b/include/pollenhitch/member.h
@@ -173,6 +173,8 @@
   uint64_t probed_epoch;
   uint32_t probed_xid;
   bool is_probe_answered;
+  bool repeats_probe; /* the next probe goes to the same member */
+  bool is_probe_repeated;
   PhTime probe_sent_at;
   uint32_t nacks_missing;
   uint32_t health;   /* local health score of Lifeguard: 0 is healthy */
--- a/source/core/swim.c
+++ b/source/core/swim.c
@@ -537,6 +537,8 @@
     send_ping_requests (ctx, world);
 }
 
+/* A member is suspected after two probes in a row, or by one when others suspect it: an answer may
+ * be held up for a second behind large responses on a slow link. */
 static void
 finish_probe (PhContext *ctx, PhWorld *world)
 {
@@ -546,7 +548,11 @@
   if (member == NULL || ms->is_probe_answered || member->record.epoch != ms->probed_epoch)
     return;
   worsen_health (ms, 1 + ms->nacks_missing);
-  if (is_live (member))
+  if (!is_live (member))
+    return;
+  if (member->record.state == PH_MEMBER_ALIVE && !ms->is_probe_repeated)
+    ms->repeats_probe = true;
+  else
     suspect (ctx, world, ms->probed);
 }
 
@@ -557,7 +563,10 @@
   const PhMember *member;
   PhOutbox out;
 
-  ms->probed = next_probed (ctx, world);
+  ms->is_probe_repeated = ms->repeats_probe && can_probe (world, ms->probed);
+  ms->repeats_probe = false;
+  if (!ms->is_probe_repeated)
+    ms->probed = next_probed (ctx, world);
   ms->is_probe_answered = false;
   ms->nacks_missing = 0;
   member = ph_member_get (&world->members, ms->probed);
