--- a/include/pollenhitch/member.h
+++ b/include/pollenhitch/member.h
@@ -84,9 +84,9 @@
 {
   const char *path;
   uint64_t revision;
-  bool is_deleted;
   const char *text;
   uint32_t size;
+  bool is_deleted;
   bool is_stub; /* the text does not fit in a datagram and is to be asked for */
 } PhMessageObject;
 
