--- a/source/node/store.c
+++ b/source/node/store.c
@@ -20,8 +20,12 @@
  * store that answers from an older state would otherwise be called without a pause. */
 #define IDLE_GAP PH_SECOND
 
-#define BACKOFF_MIN (100 * PH_MS)
+/* Failing jobs of a node take turns, so that a node sends one call in each of these times. With 10
+ * s from the start, watchers came back up to 13 s after an outage of 4.5 s. */
+#define BACKOFF_MIN (250 * PH_MS)
+#define BACKOFF_SHORT (2 * PH_SECOND)
 #define BACKOFF_MAX (10 * PH_SECOND)
+#define OUTAGE_SHORT (16 * PH_SECOND) /* after this, BACKOFF_MAX */
 
 /* A node with seeds turns to the store when no seed has answered for this time, so that nodes that
  * start together do not all call the store. */
@@ -81,7 +85,7 @@
   char after[PH_PATH_MAX]; /* WATCH: page of the list */
   PhTime started_at;
   PhTime due_at;
-  PhTime backoff;
+  bool is_failing; /* the last call failed */
   int status;
   bool is_listed;    /* WATCH */
   uint64_t revision; /* WATCH: the store's, as of the last answer */
@@ -96,6 +100,10 @@
   uint32_t watchers;
   PhTime watch_gap;
   Job jobs[JOB_COUNT];
+  Job *trial;    /* failing job whose call is open, or NULL */
+  uint32_t turn; /* first failing job to be tried next */
+  PhTime retry_at;
+  PhTime backoff;
   ev_timer wake;
   PhTime started_at;
   PhTime tokens_at; /* when the bucket was, or will be, empty */
@@ -578,17 +586,42 @@
   return &job_funcs[job->kind < JOB_WATCH ? job->kind : JOB_WATCH];
 }
 
-/* Waits longer after each failure in a row, at a random point of the interval. */
+/* Waits longer after each failure in a row, at a random point of the interval. Jobs that fail
+ * beside the one that is tried do not count: their calls were open when the store went away. */
 static void
 back_off (Job *job)
 {
-  PhContext *ctx = &job->store->node->ctx;
+  PhStore *store = job->store;
+  PhContext *ctx = &store->node->ctx;
+  PhTime most = ctx->now - store->state.waiting_since < OUTAGE_SHORT ? BACKOFF_SHORT : BACKOFF_MAX;
 
-  job->backoff = job->backoff == 0 ? BACKOFF_MIN : job->backoff * 2;
-  if (job->backoff > BACKOFF_MAX)
-    job->backoff = BACKOFF_MAX;
-  job->due_at
-      = ctx->now + job->backoff / 2 + ph_random_below (&ctx->random, (uint32_t)job->backoff);
+  job->is_failing = true;
+  /* A list answers at once when the store is back, a watch only when something changes. */
+  job->is_listed = false;
+  job->after[0] = '\0';
+  if (store->trial != job && store->backoff != 0)
+    return;
+  store->trial = NULL;
+  store->backoff = store->backoff == 0 ? BACKOFF_MIN : store->backoff * 2;
+  if (store->backoff > most)
+    store->backoff = most;
+  store->retry_at
+      = ctx->now + store->backoff / 2 + ph_random_below (&ctx->random, (uint32_t)store->backoff);
+}
+
+/* The other failing jobs follow at once. */
+static void
+end_backoff (Job *job)
+{
+  PhStore *store = job->store;
+
+  if (!job->is_failing)
+    return;
+  job->is_failing = false;
+  if (store->trial == job)
+    store->trial = NULL;
+  store->backoff = 0;
+  store->retry_at = store->node->ctx.now;
 }
 
 static void
@@ -618,7 +651,7 @@
             (long long)((ctx->now - store->state.waiting_since) / PH_SECOND));
   store->state.waiting_since = 0;
   store->state.success_at = ctx->now;
-  job->backoff = 0;
+  end_backoff (job);
 }
 
 static void
@@ -776,6 +809,35 @@
   store->contacts = format_contacts (store, ids, count);
 }
 
+/* Whether it is the turn of a failing job. */
+static bool
+has_turn (const Job *job)
+{
+  PhStore *store = job->store;
+
+  if (store->trial != NULL)
+    return false;
+  for (uint32_t i = 0; i < JOB_COUNT; i++)
+    {
+      Job *other = &store->jobs[(store->turn + i) % JOB_COUNT];
+
+      if (other->is_failing && other->transfer.v == 0 && funcs_of (other)->is_wanted (other))
+        return other == job;
+    }
+  return false;
+}
+
+static void
+drop_transfer (Job *job)
+{
+  PhStore *store = job->store;
+
+  store->transport.drop (store->node->fetch, job->transfer);
+  job->transfer = (PhTransferId){ 0 };
+  if (store->trial == job)
+    store->trial = NULL;
+}
+
 /* Starts a job that is due. Returns when it has to be looked at again. */
 static PhTime
 run_job (Job *job, bool *has_worked)
@@ -788,23 +850,29 @@
   if (!funcs->is_wanted (job))
     {
       if (job->kind >= JOB_WATCH && job->transfer.v != 0)
-        {
-          store->transport.drop (store->node->fetch, job->transfer);
-          job->transfer = (PhTransferId){ 0 };
-        }
+        drop_transfer (job);
       return PH_TIME_NEVER;
     }
   if (job->transfer.v != 0)
     return PH_TIME_NEVER;
   if (job->due_at > now)
     return job->due_at;
+  if (job->is_failing && store->retry_at > now)
+    return store->retry_at;
+  if (job->is_failing && !has_turn (job))
+    return PH_TIME_NEVER;
   if (!take_token (store))
     return store->tokens_at + TOKEN_TIME;
   *has_worked = true;
+  if (job->is_failing)
+    {
+      store->trial = job;
+      store->turn = (uint32_t)(job->kind + 1);
+    }
   if (funcs->start (job, &err))
     return PH_TIME_NEVER;
   note_failure (job, &err);
-  return job->due_at;
+  return store->retry_at;
 }
 
 /* Whether a move is known whose report is not written yet. */
