Log each call to the store and each cold start that begins by itself

Change: a line at info names what brought the limit down; a line at debug names method and target of each call to the store.

--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -462,7 +462,13 @@
       admission->limit.value = admission->limit.max;
     }
   else if (admission->limit.decreased_at != decreased_at && is_down_to_cold (admission, sample))
-    ph_admission_begin_cold (ctx, world, false);
+    {
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_ADMIT, NULL,
+              "the local upstream is taken as cold: %s brought its limit down to %.1f of %.0f",
+              sample->outcome == PH_OUTCOME_SHED ? "shed calls" : "errors", admission->limit.value,
+              admission->limit.max);
+      ph_admission_begin_cold (ctx, world, false);
+    }
 }
 
 /* Counts an attempt as evidence on the version of the local upstream. An attempt that was cancelled
--- a/source/core/probe.c
+++ b/source/core/probe.c
@@ -327,8 +327,8 @@
 
   probe->failures++;
   ph_log (ctx, PH_LOG_WARNING, PH_STEP_PROBE, NULL,
-          "probe of the local upstream failed after %lld us, %u in a row", (long long)latency,
-          probe->failures);
+          "probe of the local upstream failed after %lld us, %u in a row%s", (long long)latency,
+          probe->failures, world->admission.cold.is_cold ? "" : "; it is taken as cold");
   if (!world->admission.cold.is_cold)
     ph_admission_begin_cold (ctx, world, false);
   if (probe->failures >= FAILURES_DOWN)
--- a/source/node/store.c
+++ b/source/node/store.c
@@ -737,6 +737,15 @@
   job->status = 0;
   job->started_at = store->node->ctx.now;
   store->state.calls++;
+static PhStep
+step_of (PhStoreAction action)
+{
+  if (action == PH_STORE_WATCH)
+    return PH_STEP_STORE_WATCH;
+  return action == PH_STORE_LIST || action == PH_STORE_GET ? PH_STEP_STORE_READ
+                                                           : PH_STEP_STORE_WRITE;
+}
+
   job->transfer = store->transport.start (store->node->fetch, &opts, err);
   free (request.body);
   return job->transfer.v != 0;
@@ -770,6 +779,8 @@
       char address[PH_ADDRESS_MAX + 8];
 
       snprintf (address, sizeof address, "%s:%u", record->address, (unsigned)record->control_port);
+  ph_log (&store->node->ctx, PH_LOG_DEBUG, step_of (call->action), store->node->settings.store,
+          "%s %s", request.method, request.target);
       json_array_append_new (addresses, json_string (address));
     }
   object = json_pack ("{s:s, s:{s:s, s:o}}", "kind", "contacts", "spec", "data_centre",
