Each event of a call is a log line at debug

Cause: where the time of a slow call goes could be read from the event page only, which the platform does not show; the lines of refusals tell of failures only. Change: with log-level=debug, which can be set while the node runs, each event of a call is a line with the call's id; up to 1,000 such lines a second of each step. The functions that format and parse a call's id are in the core, once.

--- a/include/pollenhitch/base.h
+++ b/include/pollenhitch/base.h
@@ -96,6 +96,7 @@
   PhRandom random;
   PhLogFunc log;
   void *log_user;
+  bool logs_events;     /* each event of a call is also a line at debug */
   uint64_t clock;       /* hybrid logical clock, see event.h */
   PhEventRing *events;  /* borrowed, may be NULL */
   PhCounters *counters; /* borrowed, may be NULL */
--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -13,6 +13,7 @@
  */
 
 #define PH_CALL_ID_SIZE 16
+#define PH_CALL_ID_TEXT (PH_CALL_ID_SIZE * 2 + 1)
 #define PH_DEPTH_MAX 8
 #define PH_TRIED_MAX 4 /* attempts of one call, the first included */
 
@@ -244,4 +245,8 @@
 const char *ph_run_name (PhRun run);
 bool ph_run_parse (const char *text, PhRun *run);
 
+/* ph_call_id_format, ph_call_id_parse: an id as hexadecimal digits, PH_CALL_ID_TEXT bytes. */
+void ph_call_id_format (const uint8_t *id, char *text);
+bool ph_call_id_parse (const char *text, uint8_t *id);
+
 #endif
--- a/include/pollenhitch/fields.h
+++ b/include/pollenhitch/fields.h
@@ -23,12 +23,8 @@
 #define PH_FIELD_OTHERS "Pollenhitch-Others"
 #define PH_FIELD_CALLER "Pollenhitch-Caller"
 
-#define PH_CALL_ID_TEXT (PH_CALL_ID_SIZE * 2 + 1)
 #define PH_LOAD_TEXT 64
 
-void ph_call_id_format (const uint8_t *id, char *text);
-bool ph_call_id_parse (const char *text, uint8_t *id);
-
 /* ph_load_format: "in-flight queued limit latency-us slowness". */
 void ph_load_format (const PhLoad *load, char *text);
 bool ph_load_parse (const char *text, PhLoad *load);
--- a/source/core/event.c
+++ b/source/core/event.c
@@ -99,6 +99,72 @@
   return event;
 }
 
+void
+ph_call_id_format (const uint8_t *id, char *text)
+{
+  static const char digits[] = "0123456789abcdef";
+
+  for (int i = 0; i < PH_CALL_ID_SIZE; i++)
+    {
+      text[2 * i] = digits[id[i] >> 4];
+      text[2 * i + 1] = digits[id[i] & 15];
+    }
+  text[2 * PH_CALL_ID_SIZE] = '\0';
+}
+
+static int
+hex_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  return -1;
+}
+
+bool
+ph_call_id_parse (const char *text, uint8_t *id)
+{
+  if (strlen (text) != PH_CALL_ID_TEXT - 1)
+    return false;
+  for (int i = 0; i < PH_CALL_ID_SIZE; i++)
+    {
+      int high = hex_digit (text[2 * i]);
+      int low = hex_digit (text[2 * i + 1]);
+
+      if (high < 0 || low < 0)
+        return false;
+      id[i] = (uint8_t)(high << 4 | low);
+    }
+  return true;
+}
+
+/* The event as a log line; its peer is the id of the call, as in the line of a refusal. */
+static void
+log_call (PhContext *ctx,
+          PhEventKind kind,
+          const PhWorld *world,
+          const PhCall *call,
+          const char *peer,
+          PhReason reason,
+          int64_t value)
+{
+  static const PhStep steps[PH_EVENT_KIND_COUNT] = {
+    [PH_EVENT_CALL_OPENED] = PH_STEP_CHOOSE,    [PH_EVENT_UPSTREAM_CHOSEN] = PH_STEP_CHOOSE,
+    [PH_EVENT_ATTEMPT_STARTED] = PH_STEP_ADMIT, [PH_EVENT_ATTEMPT_FAILED] = PH_STEP_SEND,
+    [PH_EVENT_RETRY] = PH_STEP_CHOOSE,          [PH_EVENT_HEDGE] = PH_STEP_CHOOSE,
+    [PH_EVENT_RESPONSE] = PH_STEP_RESPONSE,     [PH_EVENT_CALL_FINISHED] = PH_STEP_RESPONSE,
+    [PH_EVENT_CALL_REFUSED] = PH_STEP_RESPONSE, [PH_EVENT_CALL_ABORTED] = PH_STEP_RESPONSE,
+  };
+  const PhService *service = ph_service_get (&world->services, call->service);
+  char id[PH_CALL_ID_TEXT];
+
+  ph_call_id_format (call->id, id);
+  ph_log (ctx, PH_LOG_DEBUG, steps[kind], id, "%s %s: %s, value %lld, service %s, depth %u",
+          kind_names[kind], peer != NULL ? peer : "", ph_reason_name (reason), (long long)value,
+          service != NULL ? service->name : "", call->depth);
+}
+
 void
 ph_event_call (PhContext *ctx,
                PhEventKind kind,
@@ -111,6 +177,8 @@
   PhEvent *event = ph_event_add (ctx, kind);
   const PhService *service;
 
+  if (ctx->logs_events && call != NULL)
+    log_call (ctx, kind, world, call, peer, reason, value);
   if (event == NULL)
     return;
   event->reason = reason;
--- a/source/core/trace.c
+++ b/source/core/trace.c
@@ -1,7 +1,5 @@
 #include "pollenhitch/trace.h"
 
-#include <stdio.h>
-
 #include "pollenhitch/world.h"
 
 static const PhCall *
@@ -43,12 +41,11 @@
 log_refusal (PhContext *ctx, const PhWorld *world, const PhCall *call, PhReason reason)
 {
   const PhService *service = ph_service_get (&world->services, call->service);
-  char id[2 * PH_CALL_ID_SIZE + 1];
+  char id[PH_CALL_ID_TEXT];
 
   if (call->origin != PH_ORIGIN_CALLER)
     return;
-  for (int i = 0; i < PH_CALL_ID_SIZE; i++)
-    snprintf (id + (size_t)2 * i, 3, "%02x", call->id[i]);
+  ph_call_id_format (call->id, id);
   ph_log (
       ctx, PH_LOG_INFO, PH_STEP_CHOOSE, id,
       "refused: %s, run %s, service %s, held %lld ms, %lld ms left, %u tried, %u of %u upstreams "
--- a/source/node/log.c
+++ b/source/node/log.c
@@ -17,6 +17,7 @@
 /* Lines of one level and step in a second. What goes beyond is counted and told with the next line
  * of the same kind, so that a flood of refusals costs little and says how large it was. */
 #define LINES_PER_SECOND 20
+#define DEBUG_LINES_PER_SECOND 1000 /* several for each call; a node takes a few hundred calls */
 
 typedef struct
 {
@@ -88,6 +89,13 @@
     log4c_category_set_priority (logger.category, priorities[index]);
 }
 
+bool
+ph_log_has_debug (void)
+{
+  return logger.category != NULL
+         && log4c_category_is_priority_enabled (logger.category, LOG4C_PRIORITY_DEBUG);
+}
+
 bool
 ph_log_start (const char *node, const char *level, PhError *err)
 {
@@ -121,7 +129,7 @@
 
 /* Whether a line is within its budget; suppressed is how many of its kind were not. */
 static bool
-take_line (Budget *budget, int64_t second, uint32_t *suppressed)
+take_line (Budget *budget, uint32_t most, int64_t second, uint32_t *suppressed)
 {
   if (second != budget->second)
     {
@@ -129,7 +137,7 @@
       budget->lines = 0;
     }
   *suppressed = budget->suppressed;
-  if (budget->lines == LINES_PER_SECOND)
+  if (budget->lines >= most)
     {
       budget->suppressed++;
       return false;
@@ -152,7 +160,9 @@
       || !log4c_category_is_priority_enabled (logger.category, priorities[level]))
     return;
   gettimeofday (&now, NULL);
-  if (!take_line (&logger.budgets[level][step], now.tv_sec, &suppressed))
+  if (!take_line (&logger.budgets[level][step],
+                  level == PH_LOG_DEBUG ? DEBUG_LINES_PER_SECOND : LINES_PER_SECOND, now.tv_sec,
+                  &suppressed))
     return;
   line = json_pack ("{s:f, s:s, s:s, s:s, s:s, s:s}", "time",
                     (double)now.tv_sec + (double)now.tv_usec / 1e6, "level", level_names[level],
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -312,6 +312,7 @@
   node->dialect = node->adapter->dialect != NULL ? node->adapter->dialect : ph_dialect_own ();
   ph_random_seed (&node->ctx.random, (uint64_t)node->ctx.wall_us ^ ((uint64_t)getpid () << 40));
   node->ctx.log = ph_log_write;
+  node->ctx.logs_events = ph_log_has_debug ();
   node->ctx.counters = &node->counters;
   if (!ph_event_ring_init (&node->events, (uint32_t)node->settings.events, err))
     return false;
--- a/source/node/reload.c
+++ b/source/node/reload.c
@@ -83,6 +83,7 @@
   settings->stop_seconds = changed.stop_seconds;
   settings->stop_grace_ms = changed.stop_grace_ms;
   ph_log_set_level (settings->log_level);
+  node->ctx.logs_events = ph_log_has_debug ();
   is_ok = true;
 
 done:
--- a/source/wire/fields.c
+++ b/source/wire/fields.c
@@ -22,46 +22,6 @@
 
 static const char *const safe_methods[] = { "GET", "HEAD", "OPTIONS" };
 
-void
-ph_call_id_format (const uint8_t *id, char *text)
-{
-  static const char digits[] = "0123456789abcdef";
-
-  for (int i = 0; i < PH_CALL_ID_SIZE; i++)
-    {
-      text[2 * i] = digits[id[i] >> 4];
-      text[2 * i + 1] = digits[id[i] & 15];
-    }
-  text[2 * PH_CALL_ID_SIZE] = '\0';
-}
-
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  return -1;
-}
-
-bool
-ph_call_id_parse (const char *text, uint8_t *id)
-{
-  if (strlen (text) != PH_CALL_ID_TEXT - 1)
-    return false;
-  for (int i = 0; i < PH_CALL_ID_SIZE; i++)
-    {
-      int high = hex_digit (text[2 * i]);
-      int low = hex_digit (text[2 * i + 1]);
-
-      if (high < 0 || low < 0)
-        return false;
-      id[i] = (uint8_t)(high << 4 | low);
-    }
-  return true;
-}
-
 bool
 ph_number_parse (const char *text, uint64_t max, uint64_t *number)
 {
