--- a/source/node/store.c
+++ b/source/node/store.c
@@ -47,6 +47,8 @@
  * watcher; and after which a node that is alone reads the configuration itself. With 120 ms, 10 of
  * 11 nodes read all lists on a day that had 6 watchers. */
 #define SETTLE_TIME (300 * PH_MS)
+#define SETTLE_TIME_FIRST                                                                          \
+  (120 * PH_MS) /* of the first by rank: after a loss of power all wait for it */
 #define ALONE_TIME (2 * PH_SECOND)
 
 /* Time for a change of the membership to spread before the rank is looked at again. */
@@ -116,6 +118,7 @@
   PhTime joined_at;  /* when this node first saw that it has joined, 0 before */
   uint32_t ranked_version;
   PhTime rank_at;
+  bool is_first;  /* by rank in the data centre */
   char *contacts; /* text that the contact object should have */
   char *published;
   uint64_t contact_revision; /* 0 when there is no object */
@@ -144,6 +147,12 @@
          || store->node->ctx.now > store->started_at + JOIN_TIME;
 }
 
+static PhTime
+settle_time (const PhStore *store)
+{
+  return store->is_first ? SETTLE_TIME_FIRST : SETTLE_TIME;
+}
+
 /* Whether this node knows the members well enough to tell whether it is a watcher, or is alone for
  * so long that it has to be. */
 static bool
@@ -152,7 +161,7 @@
   PhTime now = store->node->ctx.now;
 
   if (store->joined_at != 0)
-    return now >= store->joined_at + SETTLE_TIME;
+    return now >= store->joined_at + settle_time (store);
   return has_joined (store) && store->found_at != 0 && now >= store->started_at + ALONE_TIME;
 }
 
@@ -837,7 +846,7 @@
   if (world->membership.is_joined && store->joined_at == 0)
     {
       store->joined_at = node->ctx.now;
-      store->rank_at = store->joined_at + SETTLE_TIME;
+      store->rank_at = store->joined_at + SETTLE_TIME_FIRST;
     }
   if (!has_joined (store) || node->ctx.now < store->rank_at
       || (store->contacts != NULL && store->ranked_version == world->membership.version))
@@ -845,6 +854,7 @@
   store->rank_at = node->ctx.now + RANK_GAP;
   store->ranked_version = world->membership.version;
   count = ph_member_ranked (world, own_data_centre (store), ids, PH_STORE_CONTACTS_MAX);
+  store->is_first = count > 0 && ids[0].v == world->membership.self.v;
   for (uint32_t i = 0; i < count && i < store->watchers; i++)
     is_watcher = is_watcher || ids[i].v == world->membership.self.v;
   if (is_watcher != store->state.is_watcher)
@@ -952,8 +962,8 @@
     next = store->publish_at;
   if (!may_watch (store))
     {
-      PhTime at
-          = store->joined_at != 0 ? store->joined_at + SETTLE_TIME : store->started_at + ALONE_TIME;
+      PhTime at = store->joined_at != 0 ? store->joined_at + settle_time (store)
+                                        : store->started_at + ALONE_TIME;
 
       next = at > now && at < next ? at : next;
     }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -68,6 +68,7 @@
   uint32_t verdicts; /* writes that took effect */
   uint32_t lost;
   uint32_t counted;
+  uint32_t lists; /* of the configuration */
 } fake;
 
 static bool
@@ -167,7 +168,10 @@
   else if (after != NULL)
     call->due_at += 25 * PH_SECOND;
   else if (strstr (opts->url, "/v1/list?prefix=/teams/") != NULL)
-    answer_config (call, "objects");
+    {
+      fake.lists++;
+      answer_config (call, "objects");
+    }
   else if (strstr (opts->url, "/v1/objects/status/moves/a/m") != NULL)
     answer_verdict (call);
   else
@@ -480,6 +484,36 @@
     }
 }
 
+typedef struct
+{
+  PhTime since; /* the nodes joined */
+  uint32_t lists;
+} FirstCase;
+
+static const FirstCase first_cases[] = {
+  { 100 * PH_MS, 0 },
+  { 200 * PH_MS, 2 },
+  { 500 * PH_MS, WATCHERS },
+};
+
+/* Guards against nodes that all read the store before they know each other, and against a fleet
+ * that waits for its configuration after a loss of power. */
+static void
+test_first_reads (void)
+{
+  const Case c = { .latency = PH_MS, .nodes = 12 };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+
+  start_fake (&c, loop);
+  for (size_t i = 0; i < PH_COUNT (first_cases); i++)
+    {
+      for (; fake.now <= PH_SECOND + first_cases[i].since; fake.now += STEP)
+        run_fake_step ();
+      CU_ASSERT_EQUAL (fake.lists, first_cases[i].lists);
+    }
+  stop_fake (loop);
+}
+
 typedef struct
 {
   const char *name;
@@ -542,6 +576,7 @@
 }
 
 static const PhTest tests[] = {
+  { "one node of each data centre reads the store first", test_first_reads },
   { "groups of nodes find each other", test_islands },
   { "watchers are back soon after an outage", test_outages },
   { "store calls do not grow; verdicts are written once", test_calls },
