--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -65,7 +65,7 @@
   PH_REASON_CALLER_LIMIT,
   PH_REASON_TABLE_FULL,
   PH_REASON_CALLER_LEFT,      /* the caller closed its side of the connection */
-  PH_REASON_NO_CONFIGURATION, /* no routes are in force yet */
+  PH_REASON_NO_CONFIGURATION, /* nothing is in force yet */
   PH_REASON_UPSTREAM_ERROR,   /* the upstream answered that it failed; tried again elsewhere */
   PH_REASON_SLOW,             /* the upstream's VM is slow now, and others are left to choose */
   PH_REASON_COUNT
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -173,8 +173,9 @@
     return check_pinned (world, opts, service_id);
   if (world->is_closed)
     return PH_REASON_STOPPING;
+  /* A node that has just started cannot tell which services there are. */
   if (service == NULL || !service->is_configured)
-    return PH_REASON_UNKNOWN_SERVICE;
+    return world->config_revision == 0 ? PH_REASON_NO_CONFIGURATION : PH_REASON_UNKNOWN_SERVICE;
   return PH_REASON_NONE;
 }
 
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Random faults against real processes while calls run: soak.sh BUILD [SEED...]
+# Without seeds: those of tests/soak/seeds, which failed once, and SEEDS (10) fresh ones from the
+# clock. Each seed prints one line; the logs of one that fails are kept.
+# Guards against calls that are lost, mixed, run twice or falsely refused when faults overlap, and
+# against a fleet that does not find back to whole service.
+build=$1
+shift
+net=79
+cd "$(dirname "$0")/../.." && . tests/e2e/lib.sh
+nodes='1 2 3 4 5 6'
+fault_seconds=8
+targets=$(list entry_at $nodes)
+ledgers=$(list upstream_at $nodes)
+
+seeds_to_run () { # [SEED...]
+  local i
+  [ $# -gt 0 ] && { echo "$@"; return; }
+  grep -oE '^[0-9]+' tests/soak/seeds
+  for ((i = 0; i < ${SEEDS:-10}; i++)); do echo $((($(date +%s) * 100 + i) % 1000000000)); done
+}
+
+draw () { drawn=$((RANDOM % $1)); } # N: from 0 to N - 1, in $drawn; not in a subshell
+
+centre_of () { local all=(kamloops squamish revelstoke); echo "${all[$((($1 - 1) % 3))]}"; }
+is_running () { [ -n "${pid[$1]:-}" ] && kill -0 "${pid[$1]}" 2>/dev/null; }
+
+restart_node () { is_running "node$1" || start_node "$1" "$(centre_of "$1")"; }
+
+# Shorter than the deadline of a call, 5 s, so that a paused entry node still answers in time.
+pause () { # NAME ID: for 0.3 to 2.2 s, in the background
+  draw 20
+  is_running "$1" || return
+  kill -STOP "${pid[$1]}"
+  { sleep $((drawn / 10)).$((3 + drawn % 7)); kill -CONT "$2"; } 2>/dev/null &
+}
+
+# An upstream is never killed: its ledger tells which calls ran.
+one_fault () { # one step at VM $vm; what it did is in $did
+  draw 6
+  vm=$((drawn + 1))
+  draw 9
+  case $drawn in
+    0) did=kill-node; is_running "node$vm" && stop_process "node$vm" KILL ;;
+    1) did=stop-node; is_running "node$vm" && kill -TERM "${pid[node$vm]}" ;;
+    2 | 3) did=start-node; restart_node $vm ;;
+    4 | 5) did=pause-node; pause "node$vm" "${pid[node$vm]:-}" ;;
+    6) did=pause-upstream; pause "upstream$vm" "${pid[upstream$vm]}" ;;
+    7 | 8)
+      draw 3
+      did=store-$drawn
+      if [ "$drawn" -eq 0 ]; then # down, or up again
+        put "$(store_url)/control" '{"down":true}'
+      else
+        put "$(store_url)/control" '{"down":false}'
+      fi
+      ;;
+  esac
+  echo "$(date +%s.%N | cut -c1-14) $did vm-$vm" >>"$work/faults.log"
+}
+
+run_faults () {
+  local end=$(($(date +%s%N) + fault_seconds * 1000000000))
+  while [ "$(date +%s%N)" -lt $end ]; do
+    one_fault
+    draw 8
+    sleep 0.$((drawn + 1))
+  done
+}
+
+repair () {
+  local i
+  kill -CONT ${pid[@]} 2>/dev/null
+  put "$(store_url)/control" '{"down":false}'
+  for i in $nodes; do
+    # A planned stop that is under way ends first.
+    [ -n "${pid[node$i]:-}" ] && stop_process "node$i"
+    restart_node $i
+  done
+}
+
+run_seed () { # SEED
+  local i
+  RANDOM=$1
+  start_fleet 6 --latency-us 5000 || return 1
+  load_in_background --targets "$targets" --ledger "$ledgers" --calls 100000 \
+    --seconds $((fault_seconds + 1)) --rate 200 --concurrency 400 --post-share 0.5 \
+    --large-share 0.02 --seed "$1" --cut-is-unknown
+  run_faults
+  wait_load
+  check "seed $1: nothing lost, mixed, run twice or falsely refused" [ $verdict -eq 0 ]
+  check "seed $1: none is refused as of an unknown service" [ "${result/unknown-service/}" = "$result" ]
+  repair
+  for i in $nodes; do check "seed $1: node $i takes calls again" wait_until 20 answers $i; done
+  run_load --targets "$targets" --ledger "$ledgers" --calls 600 --concurrency 12 --seed "1$1" \
+    --name "after$1"
+  check "seed $1: afterwards every response is whole" all_whole
+}
+
+end_seed () { # SEED FAILED-BEFORE
+  local name
+  for name in "${!pid[@]}"; do stop_process "$name" KILL; done
+  if [ "$failed" -gt "$2" ]; then
+    cp -r "$work" "/tmp/soak-$1-logs"
+    echo "seed $1: logs in /tmp/soak-$1-logs"
+  fi
+  rm -f "$work"/*.log "$work"/*.out
+}
+
+for seed in $(seeds_to_run "$@"); do
+  before=$failed
+  run_seed "$seed"
+  end_seed "$seed" "$before"
+done
+finish
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -598,6 +598,8 @@
 static const OpenCase open_cases[] = {
   { "caller", FIXTURE_SERVICE, PH_ORIGIN_CALLER, 0, PH_UPSTREAM_READY, 8, PH_REASON_NONE, false,
     false },
+  { "nothing is in force yet", "team/other", PH_ORIGIN_CALLER, 0, PH_UPSTREAM_READY, 0,
+    PH_REASON_NO_CONFIGURATION, false, false },
   { "unknown service", "team/other", PH_ORIGIN_CALLER, 0, PH_UPSTREAM_READY, 0,
     PH_REASON_UNKNOWN_SERVICE, false, false },
   { "too deep", FIXTURE_SERVICE, PH_ORIGIN_CALLER, 0, PH_UPSTREAM_READY, 9, PH_REASON_DEPTH, false,
@@ -633,6 +635,7 @@
       Script s;
 
       start_script (&s);
+      s.fixture.world->config_revision = c->reason == PH_REASON_NO_CONFIGURATION ? 0 : 1;
       local = fixture_announce (&s.fixture, c->state);
       fixture_set_out (&s.fixture, 0, c->is_out);
       if (c->is_stopping)
