--- a/include/pollenhitch/probe.h
+++ b/include/pollenhitch/probe.h
@@ -73,7 +73,8 @@
  * ph_probe_refresh: a call is about to be placed at the local upstream.
  *
  * Sends a health check when the upstream tells how slow it is and its last word
- * on that is old, within this node's part of the budget.
+ * on that is old, within this node's part of the budget. Returns true when it
+ * sent one: the call may wait for the answer.
  */
 bool ph_probe_refresh (PhContext *ctx, PhWorld *world);
 
--- a/include/pollenhitch/retry.h
+++ b/include/pollenhitch/retry.h
@@ -7,12 +7,13 @@
  * Budget of extra attempts, one for each service on each node.
  *
  * Token buckets that calls fill as a share of their number, so that retries
- * stay a share of calls in an overload. Every extra attempt that may reach an
- * upstream takes a token from the bucket "all"; one after a refusal by the node
- * beside an upstream costs a message only, and has a larger bucket of its own. An attempt that may
- * run a request for a second time also takes one from a smaller bucket that is filled less by
- * deeper calls, because each such attempt repeats every call below it. Extra work at the bottom of
- * a chain is then a sum over its layers, not a product: see docs/decisions/retry.md.
+ * stay a share of calls in an overload. Every extra attempt takes a token from
+ * the bucket "all", but for one after a refusal for lack of room by the node
+ * beside an upstream: that costs messages only, and has a larger bucket. An
+ * attempt that may run a request for a second time also takes one from a smaller
+ * bucket that is filled less by deeper calls, because each such attempt repeats
+ * every call below it. Extra work at the bottom of a chain is then a sum over its
+ * layers, not a product: see docs/decisions/retry.md.
  */
 
 typedef enum
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -48,7 +48,7 @@
  * exp (16) = 9 million calls on average or later (Lorden 1971). */
 #define ALARM 16.0
 
-/* A sum above this part of the alarm, two failures or so, is told to the judges at once. */
+/* A sum above the alarm divided by this, two failures or so, is told to the judges at once. */
 #define DOUBT_PART 8
 
 /* Failures of the old version that are believed before any call was counted: 1 in 20. */
--- a/source/node/store.c
+++ b/source/node/store.c
@@ -47,8 +47,9 @@
  * watcher; and after which a node that is alone reads the configuration itself. With 120 ms, 10 of
  * 11 nodes read all lists on a day that had 6 watchers. */
 #define SETTLE_TIME (300 * PH_MS)
-#define SETTLE_TIME_FIRST                                                                          \
-  (120 * PH_MS) /* of the first by rank: after a loss of power all wait for it */
+
+/* The same for the first node of a data centre by rank: after a loss of power all wait for it. */
+#define SETTLE_TIME_FIRST (120 * PH_MS)
 #define ALONE_TIME (2 * PH_SECOND)
 
 /* Time for a change of the membership to spread before the rank is looked at again. */
