operations.sh: a change has 2 s to be in force at all nodes

Change: the check waits up to 2 s, the bound of the platform, and fails when no revision is read at all, which it did not before.

--- a/tests/e2e/operations.sh
+++ b/tests/e2e/operations.sh
@@ -67,8 +67,13 @@
 check "a route is dropped" wait_until 3 answers_with 4 /added/x 404
 check "the log names the revision in force" \
   grep -q '/config/main: revision [0-9]* is in force' "$work/node4.log"
-revisions=$(ph status --nodes "$nodes" --output json | grep -oE '"config_revision": ?[0-9]+' | sort -u | wc -l)
-check "all nodes have the same revision ($revisions)" [ "$revisions" -eq 1 ]
+# A change is in force at all nodes within 2 s; node 4 is not always the last.
+have_one_revision () {
+  local revisions
+  revisions=$(ph status --nodes "$nodes" --output json | grep -oE '"config_revision": ?[0-9]+' | sort -u)
+  [ -n "$revisions" ] && [ "$(wc -l <<<"$revisions")" -eq 1 ]
+}
+check "all nodes have the same revision within 2 s" wait_until 2 have_one_revision
 curl -sS -f -o /dev/null -X PUT "http://$store/objects/config/main" \
   -d '{"metadata":{"name":"main"},"spec":{"routes":{"r":{"host":"a.example"}},"services":{}}}'
 check "an object that cannot be used is told with its field" \
