--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,7 @@
 
 # One clang-tidy process for each file, so that all cores are used.
 lint:
-	@printf '%s\n' $(LINTED) | xargs -P 8 -n 4 scripts/lint $(filter-out -MMD -MP,$(CPPFLAGS)) --
+	@printf '%s\n' $(LINTED) | xargs -P 8 -n 1 scripts/lint $(filter-out -MMD -MP,$(CPPFLAGS)) --
 
 # The decision core includes no codec, loop or HTTP header.
 boundaries:
