--- a/source/node/store.c
+++ b/source/node/store.c
@@ -198,6 +198,24 @@
       CALL_TIMEOUT, err);
 }
 
+static bool
+is_known_address (const PhWorld *world, const char *address, long port)
+{
+  PhMemberId id = { 0 };
+
+  while ((id = ph_member_next (&world->members, id)).v != 0)
+    {
+      const PhMemberRecord *record = &ph_member_get (&world->members, id)->record;
+
+      if (record->state < PH_MEMBER_DEAD && record->control_port == port
+          && strcmp (record->address, address) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Turns to the nodes of a contact object that are not known yet. Nodes that start together can find
+ * each other in separate groups; each group learns of the other when it reads what that wrote. */
 static void
 seed_from_contact (PhStore *store, const json_t *object)
 {
@@ -216,6 +234,11 @@
       if (port < 1 || port > UINT16_MAX || colon - text >= PH_ADDRESS_MAX)
         continue;
       snprintf (address, sizeof address, "%.*s", (int)(colon - text), text);
+      if (is_known_address (node->world, address, port))
+        continue;
+      if (store->joined_at != 0)
+        ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STORE_READ, text,
+                "a contact object names a node that is not known here");
       ph_member_seed (&node->ctx, node->world, address, (uint16_t)port);
     }
 }
@@ -391,8 +414,7 @@
   (void)revision;
   set_published (job->store,
                  object != NULL ? json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS) : NULL);
-  if (job->store->joined_at == 0)
-    seed_from_contact (job->store, object);
+  seed_from_contact (job->store, object);
   json_decref (object);
 }
 
@@ -417,9 +439,12 @@
     }
   /* After a conflict the text of the other watcher is read before the next attempt. */
   store->is_contact_read = false;
-  job->due_at = store->node->ctx.now + PUBLISH_GAP;
+  job->due_at = store->node->ctx.now + IDLE_GAP;
   if (answer->status == PH_STORE_OK)
-    set_published (store, strdup (store->contacts));
+    {
+      job->due_at = store->node->ctx.now + PUBLISH_GAP;
+      set_published (store, strdup (store->contacts));
+    }
   return true;
 }
 
@@ -712,6 +737,15 @@
   job->transfer = (PhTransferId){ 0 };
 }
 
+static PhStep
+step_of (PhStoreAction action)
+{
+  if (action == PH_STORE_WATCH)
+    return PH_STEP_STORE_WATCH;
+  return action == PH_STORE_LIST || action == PH_STORE_GET ? PH_STEP_STORE_READ
+                                                           : PH_STEP_STORE_WRITE;
+}
+
 /* The text of the call is not used any more after this. */
 static bool
 begin_call (Job *job, const PhStoreCall *call, PhTime timeout, PhError *err)
@@ -745,15 +779,8 @@
   job->status = 0;
   job->started_at = store->node->ctx.now;
   store->state.calls++;
-static PhStep
-step_of (PhStoreAction action)
-{
-  if (action == PH_STORE_WATCH)
-    return PH_STEP_STORE_WATCH;
-  return action == PH_STORE_LIST || action == PH_STORE_GET ? PH_STEP_STORE_READ
-                                                           : PH_STEP_STORE_WRITE;
-}
-
+  ph_log (&store->node->ctx, PH_LOG_DEBUG, step_of (call->action), store->node->settings.store,
+          "%s %s", request.method, request.target);
   job->transfer = store->transport.start (store->node->fetch, &opts, err);
   free (request.body);
   return job->transfer.v != 0;
@@ -787,8 +814,6 @@
       char address[PH_ADDRESS_MAX + 8];
 
       snprintf (address, sizeof address, "%s:%u", record->address, (unsigned)record->control_port);
-  ph_log (&store->node->ctx, PH_LOG_DEBUG, step_of (call->action), store->node->settings.store,
-          "%s %s", request.method, request.target);
       json_array_append_new (addresses, json_string (address));
     }
   object = json_pack ("{s:s, s:{s:s, s:o}}", "kind", "contacts", "spec", "data_centre",
