--- a/source/core/move.c
+++ b/source/core/move.c
@@ -48,6 +48,9 @@
  * exp (16) = 9 million calls on average or later (Lorden 1971). */
 #define ALARM 16.0
 
+/* A sum above this part of the alarm, two failures or so, is told to the judges at once. */
+#define DOUBT_PART 8
+
 /* Failures of the old version that are believed before any call was counted: 1 in 20. */
 #define PRIOR_CALLS 20.0
 #define CONTROL_MIN 50 /* calls of the old version that a limit of response times needs */
@@ -71,7 +74,7 @@
   double share;
   double until;
 } order_stages[ORDER_STAGES]
-    = { { 0.03, 0.5 }, { 0.12, 0.54 }, { 0.3, 0.59 }, { 0.6, 0.64 }, { 1, 0.85 } };
+    = { { 0.03, 0.5 }, { 0.1, 0.53 }, { 0.25, 0.56 }, { 0.5, 0.59 }, { 1, 0.85 } };
 
 /* Part of the duration after which an open move is taken back: after the last stage of a node that
  * is no judge, and so that the report is written within the duration. */
@@ -787,6 +790,19 @@
   ph_gossip_move (ctx, world, id);
 }
 
+/* Time between two sends of own counts. Signs of a bad version are sent at once. */
+static PhTime
+send_gap (const PhMove *move)
+{
+  double sum = 0;
+
+  if (move->spec.duration == 0)
+    return SEND_GAP;
+  for (uint32_t i = 0; i < PH_MOVE_ROUTES; i++)
+    sum = fmax (sum, fmax (move->failures[i].sum, move->slow[i].sum));
+  return sum > ALARM / DOUBT_PART ? LOOK : SEND_GAP_SHORT;
+}
+
 /* Sends own counts to the judges and to one random node beside an upstream of the new version. */
 static void
 send_evidence (PhContext *ctx, PhWorld *world, PhMoveId id, bool is_new)
@@ -796,8 +812,7 @@
   PhMemberId targets[JUDGES + 1];
   uint32_t count;
 
-  if (own == NULL
-      || ctx->now < move->sent_at + (move->spec.duration != 0 ? SEND_GAP_SHORT : SEND_GAP)
+  if (own == NULL || ctx->now < move->sent_at + send_gap (move)
       || sum_calls (own->routes) == move->sent_calls)
     return;
   move->sent_at = ctx->now;
