Bytes without end in a trailer, and bodies that stall after the caller has left, are bounded

Cause: libcurl keeps each line of a trailer, and only the fields of the head were bounded: an upstream with an endless trailer took 2.5 GB of the node's memory in 4 s. A response that had begun and then brought no byte of its body, as with an endless chunk extension, kept its connection and slot after the caller had closed: only a write shows that it left. Change: interim responses, head and trailer have at most 128 KB together. When the caller closes during a response, the transfer ends if no byte of the body arrives for a second.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -596,6 +596,14 @@
 {
   bool is_started = exchange->forwards[0].v != 0 || exchange->forwards[1].v != 0;
 
+  PhDispatch *dispatch = exchange->dispatch;
+  const PhForward *winner = ph_forward_get (&dispatch->forwards, exchange->winning_forward);
+
+  /* The caller may have closed only its sending direction, and a response that arrives is still
+   * sent. One that stalls would keep its upstream's slot for as long as the upstream likes: only a
+   * write shows that the caller has left. */
+  if (winner != NULL)
+    ph_fetch_abort_if_stalled (dispatch->node->fetch, winner->transfer);
   if (ph_dispatch_is_ready (exchange) || exchange->state == PH_EXCHANGE_NEW)
     return;
   abort_call (exchange);
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -12,6 +12,14 @@
 #define CONNECTION_IDLE_DEFAULT (60 * PH_SECOND)
 #define RESPONSE_FIELDS_MAX 128
 #define RESPONSE_FIELDS_BYTES_MAX (32u * 1024)
+
+/* Maximum size of all interim responses, the head and the trailer together. libcurl 7.88 keeps each
+ * line of a trailer: an endless one took 2.5 GB in 4 s. */
+#define RESPONSE_LINES_BYTES_MAX (128u * 1024)
+
+/* Time without a byte of the body after which a response is given up whose caller has closed its
+ * connection. */
+#define CALLER_CLOSED_STALL_SECONDS 1L
 #define IDLE_HANDLES_MAX 256
 
 /* The queue of pending rows keeps dropped rows until the next tick, so it has to hold more rows
@@ -34,6 +42,7 @@
   void *user;
   char *fields;       /* "name\0value\0" pairs of the response */
   size_t fields_size; /* bytes used of fields */
+  size_t lines_size;  /* bytes of all lines received, see RESPONSE_LINES_BYTES_MAX */
   uint32_t field_count;
   PhBuffer body;   /* response bytes that the owner has not read */
   char *collected; /* owned response body, with is_body_collected */
@@ -375,6 +384,9 @@
 
   while (length > 0 && (line[length - 1] == '\r' || line[length - 1] == '\n'))
     length--;
+  t->lines_size += total;
+  if (t->lines_size > RESPONSE_LINES_BYTES_MAX)
+    return 0;
   if (t->is_head_complete)
     return total; /* trailer field */
   if (length >= 5 && memcmp (line, "HTTP/", 5) == 0)
@@ -544,6 +556,22 @@
   curl_easy_pause (t->easy, t->is_receive_paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
 }
 
+void
+ph_fetch_abort_if_stalled (PhFetch *fetch, PhTransferId id)
+{
+  Transfer *t = transfer_get (&fetch->transfers, id);
+  int paused = 0;
+
+  if (t == NULL || t->is_ended)
+    return;
+  curl_easy_setopt (t->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+  curl_easy_setopt (t->easy, CURLOPT_LOW_SPEED_TIME, CALLER_CLOSED_STALL_SECONDS);
+  paused |= t->is_receive_paused ? CURLPAUSE_RECV : 0;
+  paused |= t->is_send_paused ? CURLPAUSE_SEND : 0;
+  /* Makes libcurl check the speed, also if nothing arrives. */
+  curl_easy_pause (t->easy, paused);
+}
+
 void
 ph_fetch_drop_transfer (PhFetch *fetch, PhTransferId id)
 {
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -88,6 +88,10 @@
  * now. */
 void ph_fetch_resume (PhFetch *fetch, PhTransferId id);
 
+/* ph_fetch_abort_if_stalled: from now on, end a transfer as failed when no byte of its body arrives
+ * for a second. */
+void ph_fetch_abort_if_stalled (PhFetch *fetch, PhTransferId id);
+
 /* ph_fetch_drop_transfer: end a transfer and free its row; a stale handle is ignored. The
  * functions of the owner are not called. Closes the connection if the response is not complete. */
 void ph_fetch_drop_transfer (PhFetch *fetch, PhTransferId id);
