A VM without calls in flight is not silent

Cause: the time that calls had waited was kept when they ended without a response, cancelled or lost, so that an idle VM counted as silent and its node refused calls that had alternatives until the next report. Change: the time starts from 0 when no call waits.

--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -124,7 +124,9 @@
 {
   uint32_t waiting = admission->in_flight - admission->responding_count;
 
-  admission->waited_time += waiting * (ctx->now - admission->waited_until);
+  /* Without a waiting call there is nothing to respond to: the last ones were cancelled or lost. */
+  admission->waited_time
+      = waiting > 0 ? admission->waited_time + waiting * (ctx->now - admission->waited_until) : 0;
   admission->waited_until = ctx->now;
 }
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -331,6 +331,15 @@
       tick (&bed, 0);
       if ((bed.refusals[PH_REASON_SLOW] == 1) != c->is_refused)
         CU_FAIL (c->name);
+      /* All calls in flight are lost: nothing is left that could respond. */
+      while (bed.ended_count < bed.started_count)
+        ph_attempt_fail (&bed.ctx, bed.world, bed.started[bed.ended_count++], PH_RUN_UNKNOWN,
+                         PH_REASON_CONNECTION_LOST);
+      bed.refusals[PH_REASON_SLOW] = 0;
+      tick (&bed, 0);
+      open_call (&bed, &call);
+      tick (&bed, 0);
+      CU_ASSERT_EQUAL (bed.refusals[PH_REASON_SLOW], 0);
       tear_down (&bed);
     }
 }
