A health check in flight is not a waiting call

Cause: calls in flight include the health check that an arriving call causes. Change: a health check is not counted.

--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -118,11 +118,15 @@
   return service != NULL ? service->rules.cold_calls_per_s : 0;
 }
 
-/* Adds the time since the last change of the number of calls in flight to waited_time. */
+/* Adds the time since the last change of the number of calls in flight to waited_time. A health
+ * check in flight is no call. */
 static void
-add_waited_time (const PhContext *ctx, PhAdmission *admission)
+add_waited_time (const PhContext *ctx, PhWorld *world)
 {
-  uint32_t waiting = admission->in_flight - admission->responding_count;
+  PhAdmission *admission = &world->admission;
+  bool is_probing = world->probe.open_upstream.v != 0
+                    && world->probe.open_generation == admission->upstream_generation;
+  uint32_t waiting = admission->in_flight - admission->responding_count - (is_probing ? 1 : 0);
 
   /* Without a waiting call there is nothing to respond to: the last ones were cancelled or lost. */
   admission->waited_time
@@ -391,9 +395,11 @@
 /* Whether the calls in flight have waited for so long without a response that the VM has probably
  * turned slow since its last report. */
 static bool
-is_local_vm_silent (const PhContext *ctx, PhAdmission *admission)
+is_local_vm_silent (const PhContext *ctx, PhWorld *world)
 {
-  add_waited_time (ctx, admission);
+  const PhAdmission *admission = &world->admission;
+
+  add_waited_time (ctx, world);
   return admission->slowdown_percent != 0
          && ctx->now - admission->slowdown_reported_at >= SLOWDOWN_REPORT_AGE_MAX
          && admission->limit.latency.value > 0
@@ -411,7 +417,7 @@
 
   return (admission->slowdown_percent >= SLOW_VM_PERCENT
           && ctx->now - admission->slowdown_reported_at < SLOWDOWN_REPORT_AGE_MAX)
-         || is_local_vm_silent (ctx, admission);
+         || is_local_vm_silent (ctx, world);
 }
 
 PhReason
@@ -600,7 +606,7 @@
   if (attempt->upstream_generation != admission->upstream_generation)
     return;
   PH_INVARIANT (admission->in_flight > 0);
-  add_waited_time (ctx, admission);
+  add_waited_time (ctx, world);
   admission->in_flight--;
   if (attempt->responded_at != 0)
     admission->responding_count--;
@@ -661,7 +667,7 @@
   PhAdmission *admission = &world->admission;
 
   ph_admission_dequeue (ctx, world, id);
-  add_waited_time (ctx, admission);
+  add_waited_time (ctx, world);
   admission->in_flight++;
   PH_INVARIANT (admission->in_flight <= ph_admission_limit (ctx, world));
   PH_INVARIANT (admission->in_flight <= admission->limit.max);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -344,6 +344,35 @@
     }
 }
 
+/* Guards against an idle VM that counts as silent because of the health check that the arriving
+ * call causes (tests/e2e/operations.sh: two idle upstreams refused a call, and the third lost it).
+ */
+static void
+test_idle (void)
+{
+  static const CallSpec call = { 0, 400 * PH_MS, 2 * PH_SECOND, true };
+  TestBed bed;
+
+  set_up (&bed, ph_limit_fixed);
+  bed_service (bed.world)->rules.probes_per_minute = 3600;
+  for (int n = 0; n < 20; n++)
+    {
+      open_call (&bed, &call);
+      tick (&bed, 0);
+      tick (&bed, USUAL_LATENCY);
+      end_first (&bed, PH_OUTCOME_OK);
+    }
+  tick (&bed, PH_PROBE_PERIOD);
+  ph_admission_report_slowdown (&bed.ctx, bed.world, 100);
+  tick (&bed, 5 * PH_SECOND);
+  tick (&bed, 0);
+  open_call (&bed, &call);
+  ph_world_tick (&bed.ctx, bed.world);
+  CU_ASSERT_NOT_EQUAL (bed.probe.v, 0);
+  CU_ASSERT_EQUAL (bed.refusals[PH_REASON_SLOW], 0);
+  tear_down (&bed);
+}
+
 typedef struct
 {
   const char *name;
@@ -583,6 +612,7 @@
   { "order of queued calls", test_order },
   { "arriving calls are refused on a slow VM", test_slow },
   { "arriving calls are refused on a VM that does not respond", test_silent },
+  { "an idle VM is not silent", test_idle },
   { "arriving calls wait for a health check of the VM", test_health_check },
   { "entry node sends calls elsewhere if its own VM is slow", test_slow_at_entry },
   { "queued calls are refused on a slow VM", test_slow_while_queued },
