--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -135,6 +135,7 @@
   bool is_error; /* the response reports a failure of the upstream */
   /* The response is 502 or 504: a dependency of the upstream failed. */
   bool is_dependency_error;
+  bool is_version_sampled; /* counted as slow for a move while it is open */
   uint32_t upstream_generation;
   bool is_rerun; /* another attempt may run, or have run, the same request */
   /* When it was added to the queue of the local upstream; for another upstream, when it was
--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -156,6 +156,16 @@
 void ph_move_observe (
     PhContext *ctx, PhWorld *world, uint32_t route_bucket, PhTime latency, bool is_failure);
 
+/*
+ * ph_move_open_limits: times after which open attempts count as slow, by route bucket.
+ *
+ * An attempt that is open for longer is above the 90th percentile of the old version, by the counts
+ * known here, or in the slowest latency bucket: how much slower it becomes does not matter. The
+ * timer of a move observes the attempts at the local upstream at this time, since the response of
+ * a slow version would come seconds later.
+ */
+void ph_move_open_limits (const PhWorld *world, PhMoveId id, PhTime *limits);
+
 /* ph_move_config_changed: apply a new revision of a move's object, or its deletion. */
 void ph_move_config_changed (PhContext *ctx, PhWorld *world, const PhObject *object);
 
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -522,12 +522,15 @@
 {
   const PhCall *call = ph_call_get (&world->calls, attempt->call);
 
+  if (attempt->is_version_sampled && sample->outcome == PH_OUTCOME_OK)
+    return;
   if (sample->outcome == PH_OUTCOME_OK || sample->outcome == PH_OUTCOME_ERROR)
     ph_move_observe (ctx, world, call->route_bucket, sample->latency,
                      sample->outcome == PH_OUTCOME_ERROR);
   else if (attempt->is_dependency_error)
     ph_move_observe (ctx, world, call->route_bucket, sample->latency, true);
-  else if (sample->outcome == PH_OUTCOME_UNKNOWN && attempt->responded_at == 0)
+  else if (sample->outcome == PH_OUTCOME_UNKNOWN && attempt->responded_at == 0
+           && (!attempt->is_version_sampled || ctx->now >= call->deadline))
     ph_move_observe (ctx, world, call->route_bucket, PH_MOVE_LATENCY_ABANDONED,
                      ctx->now >= call->deadline);
 }
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -69,20 +69,28 @@
 static const PhTime latency_bucket_limits[PH_MOVE_LATENCY_BUCKETS - 1]
     = { 2 * PH_MS, 8 * PH_MS, 32 * PH_MS, 128 * PH_MS, 256 * PH_MS, 512 * PH_MS, 1024 * PH_MS };
 
-/* Stages of a move with a duration: share of the calls, and fraction of the duration at which the
- * stage ends. The platform (see config.h) allows a bad version a tenth of all calls, and a good
- * version must have all calls in time, so the first stage is long with a small share and the next
- * three are short. The new version gets all calls for at least a tenth of the duration before the
- * move is reported as done: the old upstreams stop at the report, and their calls must have ended
- * by then. */
-#define DURATION_STAGES 5
+/* Shares of the stages of a move with a duration. The platform (see config.h) allows a bad version
+ * EXPOSURE_SHARE of the service's calls and EXPOSURE_SLACK more, so each step is paid from that
+ * account (see can_afford_step). Only the last step is taken in any case, at LAST_STEP. */
+#define DURATION_STAGES 6
 
-static const struct
-{
-  double share;
-  double end_fraction;
-} duration_stages[DURATION_STAGES]
-    = { { 0.03, 0.5 }, { 0.1, 0.53 }, { 0.25, 0.56 }, { 0.5, 0.59 }, { 1, 0.85 } };
+static const double duration_shares[DURATION_STAGES] = { 0.01, 0.03, 0.1, 0.25, 0.5, 1 };
+
+#define EXPOSURE_SHARE 0.1
+#define EXPOSURE_SLACK 50
+
+/* Time from the first failure of a version that turns bad until all nodes have stopped sending it
+ * calls. The calls of this time stay in reserve when a step is paid for. */
+#define DETECTION_TIME (1000 * PH_MS)
+
+/* Fractions of the duration. FIRST_STEP leaves time for the counts of all nodes to arrive, and
+ * STEP_TIME_MIN for the evidence of a stage. The new version gets all calls from LAST_STEP at the
+ * latest to LAST_STAGE_END, when the move is reported as done: the old upstreams stop at the
+ * report, and their calls must have ended by then. */
+#define FIRST_STEP 0.15
+#define STEP_TIME_MIN 0.03
+#define LAST_STEP 0.73
+#define LAST_STAGE_END 0.85
 
 /* Fraction of the duration after which an open move is rolled back. It is later than the end of the
  * last stage at a node that is not an evaluator, and leaves time to write the report. */
@@ -219,12 +227,47 @@
              : object->revision;
 }
 
+/* Sets the bad flag. The route bucket has a meaning for the reasons FAILURES and SLOW only. */
+static void
+set_bad (PhMove *move, PhMoveReason reason, uint32_t route_bucket)
+{
+  move->is_bad = true;
+  move->reason = reason;
+  move->route_bucket = route_bucket;
+}
+
+/* Sets the bad flag by the evidence of this node. */
+static void
+decide_bad (PhContext *ctx, PhMove *move, PhMoveReason reason, uint32_t route_bucket)
+{
+  set_bad (move, reason, route_bucket);
+  ph_log (ctx, PH_LOG_WARNING, PH_STEP_MOVE, NULL,
+          "%s: the move to version %s is taken back: %s in route bucket %u", move->path,
+          move->spec.to_version, reason_names[reason], route_bucket);
+}
+
+/* Sets the bad flag as the store reports it. */
+static void
+apply_reported_rollback (PhContext *ctx, PhWorld *world, PhMoveId id)
+{
+  PhMove *move = ph_move_get (&world->moves, id);
+
+  if (move->is_bad)
+    return;
+  /* The report does not say why; DEADLINE stands for a reason that is not known. */
+  set_bad (move, PH_MOVE_REASON_DEADLINE, 0);
+  ph_log (ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL,
+          "%s: the store has the end of the move to version %s: it was taken back", move->path,
+          move->spec.to_version);
+  ph_gossip_queue_move (ctx, world, id);
+}
+
 /* Applies the outcome that the object itself reports. */
 static void
 apply_reported_outcome (PhContext *ctx, PhWorld *world, PhMoveId id)
 {
   PhMove *move = ph_move_get (&world->moves, id);
-  PhMoveState reported = ph_move_state (move);
+  PhMoveState done = ph_move_state (move);
 
   if (!move->spec.has_reported_outcome)
     return;
@@ -232,15 +275,13 @@
   if (move->spec.reported_outcome == PH_MOVE_OPEN)
     return;
   move->is_final_status_written = true;
-  if (move->spec.reported_outcome == PH_MOVE_DONE)
-    reported.stage = PH_MOVE_STAGES;
-  else
+  if (move->spec.reported_outcome == PH_MOVE_ROLLED_BACK)
     {
-      /* The report does not say why; DEADLINE stands for a reason that is not known. */
-      reported.is_bad = true;
-      reported.reason = move->is_bad ? move->reason : PH_MOVE_REASON_DEADLINE;
+      apply_reported_rollback (ctx, world, id);
+      return;
     }
-  ph_move_merge (ctx, world, &reported);
+  done.stage = PH_MOVE_STAGES;
+  ph_move_merge (ctx, world, &done);
 }
 
 void
@@ -302,19 +343,6 @@
   ph_event_record (ctx, PH_EVENT_MOVE_STEP, NULL, move->path, stage);
 }
 
-/* Sets the bad flag. The route bucket has a meaning for the reasons FAILURES and SLOW only; a
- * rollback that a platform reported has none. to_version is "" while the object is not known. */
-static void
-set_bad (PhContext *ctx, PhMove *move, PhMoveReason reason, uint32_t route_bucket)
-{
-  move->is_bad = true;
-  move->reason = reason;
-  move->route_bucket = route_bucket;
-  ph_log (ctx, PH_LOG_WARNING, PH_STEP_MOVE, NULL,
-          "%s: the move to version %s is taken back: %s in route bucket %u", move->path,
-          move->spec.to_version, reason_names[reason], route_bucket);
-}
-
 /* Sums the counts of the old or the new version that this node knows, by route bucket. */
 static void
 sum_evidence (const PhWorld *world, PhMoveId id, bool is_new, PhMoveCounts *route_counts)
@@ -366,7 +394,10 @@
     }
   if (state->is_bad && !move->is_bad && state->reason < PH_MOVE_REASON_COUNT)
     {
-      set_bad (ctx, move, state->reason, state->route_bucket);
+      set_bad (move, state->reason, state->route_bucket);
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL,
+              "%s: the move to version %s was taken back by another node: %s in route bucket %u",
+              move->path, move->spec.to_version, reason_names[state->reason], state->route_bucket);
       is_changed = true;
     }
   if (!is_changed)
@@ -566,8 +597,7 @@
   if (outcome == PH_MOVE_DONE)
     return 1;
   return move->spec.duration != 0
-             ? duration_stages[move->stage < DURATION_STAGES ? move->stage : DURATION_STAGES - 1]
-                   .share
+             ? duration_shares[move->stage < DURATION_STAGES ? move->stage : DURATION_STAGES - 1]
              : stage_shares[move->stage];
 }
 
@@ -634,6 +664,46 @@
   return bucket;
 }
 
+void
+ph_move_open_limits (const PhWorld *world, PhMoveId id, PhTime *limits)
+{
+  PhMoveCounts old_counts[PH_MOVE_ROUTE_BUCKETS];
+
+  sum_evidence (world, id, false, old_counts);
+  for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
+    {
+      uint32_t bucket = old_counts[i].calls >= CONTROL_CALLS_MIN
+                            ? p90_latency_bucket (&old_counts[i])
+                            : PH_MOVE_LATENCY_BUCKETS - 2;
+
+      limits[i] = latency_bucket_limits[bucket < PH_MOVE_LATENCY_BUCKETS - 1
+                                            ? bucket
+                                            : PH_MOVE_LATENCY_BUCKETS - 2];
+    }
+}
+
+/* Observes the attempts at the local upstream that are open for longer than ph_move_open_limits. */
+static void
+observe_open_attempts (PhContext *ctx, PhWorld *world, PhMoveId id)
+{
+  PhTime limits[PH_MOVE_ROUTE_BUCKETS];
+  PhAttemptId attempt_id = { 0 };
+
+  ph_move_open_limits (world, id, limits);
+  while ((attempt_id = ph_attempt_next (&world->attempts, attempt_id)).v != 0)
+    {
+      PhAttempt *attempt = ph_attempt_get (&world->attempts, attempt_id);
+      const PhCall *call = ph_call_get (&world->calls, attempt->call);
+
+      if (!attempt->is_slot_held || attempt->state != PH_ATTEMPT_STARTED
+          || attempt->is_version_sampled
+          || ctx->now - attempt->started_at < limits[call->route_bucket])
+        continue;
+      attempt->is_version_sampled = true;
+      ph_move_observe (ctx, world, call->route_bucket, ctx->now - attempt->started_at, false);
+    }
+}
+
 /* Compares the calls of the two versions on one route bucket, and sets the bad flag if the new one
  * fails a larger fraction of them, or if a larger fraction is above the latency bucket of the old
  * version's 90th percentile. */
@@ -649,14 +719,14 @@
 
   if (update_cusum (&move->failure_cusums[route_bucket], new_counts->calls, new_counts->failures,
                     (old_counts->failures + 1) / weight, 0.05))
-    set_bad (ctx, move, PH_MOVE_REASON_FAILURES, route_bucket);
+    decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, route_bucket);
   if (old_counts->calls < CONTROL_CALLS_MIN || move->is_bad)
     return;
   bucket = p90_latency_bucket (old_counts);
   if (update_cusum (&move->slow_cusums[route_bucket], new_counts->calls,
                     count_above (new_counts, bucket),
                     (count_above (old_counts, bucket) + 1) / weight, 0.2))
-    set_bad (ctx, move, PH_MOVE_REASON_SLOW, route_bucket);
+    decide_bad (ctx, move, PH_MOVE_REASON_SLOW, route_bucket);
 }
 
 /* Whether some test is more than halfway to its alarm threshold. */
@@ -768,24 +838,83 @@
   return appears_before (evaluators, count);
 }
 
-/* Calls that the new version should have had when a fraction of the duration has passed, by the
- * calls of the old version and the shares of the stages. */
+/* Fraction of its duration that has passed since the move was learned. */
 static double
-expected_calls (const PhMove *move, double elapsed, uint32_t old_calls)
+elapsed_fraction (const PhContext *ctx, const PhMove *move)
 {
-  double begin = 0;
-  double old_weight = 0;
-  double new_weight = 0;
+  return (double)(ctx->now - move->learned_at) / (double)move->spec.duration;
+}
 
-  for (uint32_t i = 0; i <= move->stage && i < DURATION_STAGES; i++)
-    {
-      double end = i < move->stage ? duration_stages[i].end_fraction : elapsed;
+/* Known calls of a move's service. */
+typedef struct
+{
+  uint32_t new_calls;
+  uint32_t old_calls;
+  /* Upstreams of the service for each node whose counts are known, at least 1. Before the counts of
+   * all nodes have arrived, the calls of the known ones are multiplied by this. */
+  double upstreams_per_row;
+} KnownCalls;
 
-      new_weight += duration_stages[i].share * (end - begin);
-      old_weight += (1 - duration_stages[i].share) * (end - begin);
-      begin = end;
-    }
-  return old_weight > 0 ? old_calls * new_weight / old_weight : 0;
+static double
+upstreams_per_row (const PhWorld *world, PhMoveId id)
+{
+  const PhService *service = ph_service_get (
+      &world->services, ph_service_find (world, ph_move_get (&world->moves, id)->spec.service));
+  PhEvidenceId row_id = { 0 };
+  uint32_t rows = 0;
+
+  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+    rows += ph_evidence_get (&world->evidence, row_id)->move.v == id.v ? 1 : 0;
+  return service != NULL && rows > 0 && rows < service->upstream_count
+             ? (double)service->upstream_count / rows
+             : 1;
+}
+
+/* Whether the calls that a bad version may get also pay for the next stage: the calls of the stage
+ * until it ends, and those that the new version would get until it is found to be bad in the last
+ * stage. */
+static bool
+can_afford_step (const PhMove *move, double elapsed, const KnownCalls *known)
+{
+  double share = duration_shares[move->stage + 1];
+  double end = share < 1 ? LAST_STEP : LAST_STAGE_END;
+  double left = end > elapsed ? end - elapsed : 0;
+  double total = (double)known->new_calls + known->old_calls;
+  double calls_per_duration = total * known->upstreams_per_row / elapsed;
+  double reserve
+      = share < 1 ? calls_per_duration * DETECTION_TIME / (double)move->spec.duration : 0;
+
+  return known->new_calls * known->upstreams_per_row + share * calls_per_duration * left + reserve
+         <= EXPOSURE_SHARE * (total + calls_per_duration * left) + EXPOSURE_SLACK;
+}
+
+/* Calls that the new version should have had so far, by the calls of the old version and the
+ * smallest share. */
+static double
+expected_calls (const KnownCalls *known)
+{
+  return known->old_calls * duration_shares[0];
+}
+
+/* Whether the stage of a move with a duration is over. Only the evaluators, which know the counts
+ * of all nodes, take a step early. */
+static bool
+is_duration_stage_over (const PhContext *ctx,
+                        const PhWorld *world,
+                        const PhMove *move,
+                        const KnownCalls *known)
+{
+  bool is_paying = is_evaluator (world, move);
+  double elapsed = elapsed_fraction (ctx, move) - (is_paying ? 0 : NON_EVALUATOR_DELAY);
+
+  if (known->new_calls == 0 && expected_calls (known) >= MISSED_CALLS_MAX)
+    return false;
+  if (move->stage + 1 >= DURATION_STAGES)
+    return move->stage < PH_MOVE_STAGES && elapsed >= LAST_STAGE_END;
+  return elapsed >= LAST_STEP
+         || (is_paying && elapsed >= FIRST_STEP
+             && ctx->now - move->stage_began_at >= STEP_TIME_MIN * move->spec.duration
+             && can_afford_step (move, elapsed, known));
 }
 
 /* Whether the stage has lasted long enough and the new version had enough calls in it. */
@@ -793,28 +922,23 @@
 is_stage_over (const PhContext *ctx,
                const PhWorld *world,
                const PhMove *move,
-               uint32_t calls,
-               uint32_t old_calls)
+               const KnownCalls *known)
 {
-  double elapsed;
-
   if (move->spec.duration != 0)
-    {
-      elapsed = (double)(ctx->now - move->learned_at) / (double)move->spec.duration;
-      if (!is_evaluator (world, move))
-        elapsed -= NON_EVALUATOR_DELAY;
-      return move->stage < DURATION_STAGES && elapsed >= duration_stages[move->stage].end_fraction
-             && (calls > 0 || expected_calls (move, elapsed, old_calls) < MISSED_CALLS_MAX);
-    }
+    return is_duration_stage_over (ctx, world, move, known);
   return ctx->now - move->stage_began_at >= stage_time_min (move)
-         && calls >= move->stage_calls + STAGE_CALLS_MIN;
+         && known->new_calls >= move->stage_calls + STAGE_CALLS_MIN;
 }
 
+/* From LAST_STEP on, a move with a duration goes to its last stage directly. */
 static uint32_t
-next_stage (const PhMove *move)
+next_stage (const PhContext *ctx, const PhMove *move)
 {
-  return move->spec.duration != 0 && move->stage + 1 >= DURATION_STAGES ? PH_MOVE_STAGES
-                                                                        : move->stage + 1;
+  if (move->spec.duration == 0)
+    return move->stage + 1;
+  if (move->stage + 1 >= DURATION_STAGES)
+    return PH_MOVE_STAGES;
+  return elapsed_fraction (ctx, move) >= LAST_STEP ? DURATION_STAGES - 1 : move->stage + 1;
 }
 
 /* Sets the bad flag or advances the stage by the evidence known here. Runs on nodes of the new
@@ -826,18 +950,19 @@
   PhMoveCounts old_counts[PH_MOVE_ROUTE_BUCKETS];
   PhMoveCounts new_counts[PH_MOVE_ROUTE_BUCKETS];
   uint32_t stage = move->stage;
-  uint32_t calls;
+  KnownCalls known;
 
   sum_evidence (world, id, false, old_counts);
   sum_evidence (world, id, true, new_counts);
-  calls = sum_calls (new_counts);
+  known = (KnownCalls){ .new_calls = sum_calls (new_counts),
+                        .old_calls = sum_calls (old_counts),
+                        .upstreams_per_row = upstreams_per_row (world, id) };
   if (move->evaluated_at != 0 && ctx->now - move->evaluated_at > PAUSE_MIN)
-    set_stage (ctx, move, stage, calls);
+    set_stage (ctx, move, stage, known.new_calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS && !move->is_bad; i++)
     evaluate_route_bucket (ctx, move, i, &old_counts[i], &new_counts[i]);
-  if (!move->is_bad && is_stage_over (ctx, world, move, calls, sum_calls (old_counts))
-      && !is_suspect (move))
-    set_stage (ctx, move, next_stage (move), calls);
+  if (!move->is_bad && is_stage_over (ctx, world, move, &known) && !is_suspect (move))
+    set_stage (ctx, move, next_stage (ctx, move), known.new_calls);
   if (!move->is_bad && move->stage == stage)
     return;
   ph_gossip_queue_move (ctx, world, id);
@@ -950,6 +1075,7 @@
     return;
   if (is_running (ctx, move) && is_local_participant (world, move, &is_new))
     {
+      observe_open_attempts (ctx, world, id);
       if (is_new)
         evaluate_move (ctx, world, id);
       send_evidence (ctx, world, id, is_new);
