--- a/source/node/store.c
+++ b/source/node/store.c
@@ -47,7 +47,7 @@
 
 /* A node that found no other node writes the contact object after a random delay of up to this
  * time, so that the other nodes of its data centre find the object that the first one wrote. */
-#define FIRST_PUBLISH_JITTER (600 * PH_MS)
+#define FIRST_PUBLISH_JITTER (1200 * PH_MS)
 
 /* Time to learn of the other members after joining, before this node may act as a watcher. With 120
  * ms, 10 of the 11 nodes of a fleet took themselves for watchers and read all lists, instead of
@@ -58,6 +58,20 @@
  * nodes wait for this one after a power failure. */
 #define FIRST_RANK_SETTLE_TIME (120 * PH_MS)
 
+/* After a start the rank of a node is relied on when no member was added or changed for this time
+ * for each live member: 195 nodes that start together learn of each other in batches over about a
+ * second, and 108 of them took themselves for watchers. A membership that does not come to rest is
+ * relied on after QUIET_WAIT_MAX. */
+#define QUIET_TIME_PER_MEMBER (10 * PH_MS)
+#define QUIET_WAIT_MAX (2 * PH_SECOND)
+
+/* While no configuration is known, nodes that are first by rank among the members they know so far
+ * read it before that, after a random delay of up to this time, so that a few of them do. */
+#define EARLY_READ_JITTER (400 * PH_MS)
+
+/* Maximum number of watchers of the whole fleet, but at least one in each data centre. */
+#define FLEET_WATCHERS_MAX 6
+
 /* A node that has found no other for this time reads the configuration itself. */
 #define ALONE_TIMEOUT (2 * PH_SECOND)
 
@@ -130,6 +144,10 @@
   PhTime discovered_at;    /* end of the first read of the contact objects, 0 before */
   PhTime first_publish_at; /* when a node that has joined none writes the contact object, or 0 */
   PhTime joined_at;        /* when this node noticed that it had joined, 0 before */
+  PhTime early_read_delay; /* see EARLY_READ_JITTER */
+  bool is_settled;         /* the membership came to rest after this node had joined */
+  uint32_t seen_state_version;   /* version of the membership in the last run */
+  PhTime membership_changed_at;  /* when that version was first seen */
   uint32_t ranked_state_version; /* version of the membership at the last evaluation of the rank */
   PhTime next_rank_at;           /* earliest time of the next evaluation of the rank */
   bool is_first_by_rank;         /* this node is the first by rank in its data centre */
@@ -168,6 +186,33 @@
   return store->is_first_by_rank ? FIRST_RANK_SETTLE_TIME : SETTLE_TIME;
 }
 
+/* When the membership will have come to rest if it does not change until then. */
+static PhTime
+membership_rests_at (const PhStore *store)
+{
+  PhTime rests_at = store->membership_changed_at
+                    + store->node->world->membership.live_count * QUIET_TIME_PER_MEMBER;
+  PhTime latest = store->joined_at + QUIET_WAIT_MAX;
+
+  return rests_at < latest ? rests_at : latest;
+}
+
+/* When a node that has joined may act as a watcher, if the membership does not change until then.
+ */
+static PhTime
+settles_at (const PhStore *store)
+{
+  PhTime at = store->joined_at + settle_time (store);
+  PhTime rests_at = membership_rests_at (store);
+
+  if (store->is_settled)
+    return at;
+  if (store->is_first_by_rank && store->node->world->config_revision == 0
+      && at + store->early_read_delay < rests_at)
+    return at + store->early_read_delay;
+  return at > rests_at ? at : rests_at;
+}
+
 /* Whether this node has had time to learn of the other members, so that its rank can be relied on,
  * or has found no other node for ALONE_TIMEOUT. */
 static bool
@@ -176,7 +221,7 @@
   PhTime now = store->node->ctx.now;
 
   if (store->joined_at != 0)
-    return now >= store->joined_at + settle_time (store);
+    return now >= settles_at (store);
   return is_join_over (store) && store->discovered_at != 0
          && now >= store->started_at + ALONE_TIMEOUT;
 }
@@ -214,9 +259,9 @@
 static bool
 discover_start (Job *job, PhError *err)
 {
-  /* Contact objects change rarely, so the first read allows a stale response. Further reads, when
-   * the first one found no other node, do not. */
-  bool allows_stale = job->store->discovered_at == 0;
+  /* Contact objects change rarely, so the first reads allow a stale response. Further ones, when
+   * these found no other node, do not. */
+  bool allows_stale = job->store->discovery_interval <= 2 * DISCOVERY_INTERVAL_MIN;
 
   return start_call (job,
                      &(PhStoreCall){ .action = PH_STORE_LIST,
@@ -406,7 +451,7 @@
 {
   PhStore *store = job->store;
 
-  bool is_due = store->joined_at != 0 ? has_settled (store)
+  bool is_due = store->joined_at != 0 ? store->is_settled && has_settled (store)
                                       : store->first_publish_at != 0
                                             && store->node->ctx.now >= store->first_publish_at;
 
@@ -872,6 +917,43 @@
   return text;
 }
 
+/* Notes changes of the membership, and whether it has come to rest. The rank is then evaluated at
+ * once. */
+static void
+update_settled (PhStore *store)
+{
+  PhTime now = store->node->ctx.now;
+
+  if (store->seen_state_version != store->node->world->membership.state_version)
+    {
+      store->seen_state_version = store->node->world->membership.state_version;
+      store->membership_changed_at = now;
+    }
+  if (store->is_settled || store->joined_at == 0 || now < store->joined_at + FIRST_RANK_SETTLE_TIME
+      || now < membership_rests_at (store))
+    return;
+  store->is_settled = true;
+  store->next_rank_at = now;
+}
+
+/* Number of watchers in this data centre: fewer when there are many data centres with members. */
+static uint32_t
+watchers_per_data_centre (const PhStore *store)
+{
+  const PhWorld *world = store->node->world;
+  PhDataCentreId id = { 0 };
+  PhMemberId first;
+  uint32_t count = 0;
+  uint32_t share;
+
+  while ((id = ph_data_centre_next (&world->data_centres, id)).v != 0)
+    count
+        += ph_member_ranked (world, ph_data_centre_get (&world->data_centres, id)->name, &first, 1);
+  share = count > 0 ? FLEET_WATCHERS_MAX / count : store->watcher_count;
+  share = share < store->watcher_count ? share : store->watcher_count;
+  return share > 0 ? share : 1;
+}
+
 /* Re-evaluates this node's rank and the text of the contact object after a membership change. */
 static void
 update_rank (PhStore *store)
@@ -887,15 +969,17 @@
       store->joined_at = node->ctx.now;
       store->next_rank_at = store->joined_at + FIRST_RANK_SETTLE_TIME;
     }
+  update_settled (store);
   if (!is_join_over (store) || node->ctx.now < store->next_rank_at
       || (store->contact_text != NULL
           && store->ranked_state_version == world->membership.state_version))
     return;
-  store->next_rank_at = node->ctx.now + RANK_INTERVAL;
+  store->next_rank_at
+      = node->ctx.now + (store->is_settled ? RANK_INTERVAL : FIRST_RANK_SETTLE_TIME);
   store->ranked_state_version = world->membership.state_version;
   count = ph_member_ranked (world, own_data_centre (store), ids, PH_STORE_CONTACTS_MAX);
   store->is_first_by_rank = count > 0 && ids[0].v == world->membership.self.v;
-  for (uint32_t i = 0; i < count && i < store->watcher_count; i++)
+  for (uint32_t i = 0; i < count && i < watchers_per_data_centre (store); i++)
     is_watcher = is_watcher || ids[i].v == world->membership.self.v;
   if (is_watcher != store->state.is_watcher)
     ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STORE_WATCH, NULL,
@@ -1008,8 +1092,8 @@
     next = store->first_publish_at;
   if (!has_settled (store))
     {
-      PhTime settled_at = store->joined_at != 0 ? store->joined_at + settle_time (store)
-                                                : store->started_at + ALONE_TIMEOUT;
+      PhTime settled_at
+          = store->joined_at != 0 ? settles_at (store) : store->started_at + ALONE_TIMEOUT;
 
       next = settled_at > now && settled_at < next ? settled_at : next;
     }
@@ -1072,6 +1156,8 @@
   store->watcher_count = opts->watcher_count != 0 ? opts->watcher_count : PH_STORE_WATCHERS;
   store->watch_interval = opts->watch_interval;
   store->discovery_interval = DISCOVERY_INTERVAL_MIN;
+  store->early_read_delay = ph_random_below (&node->ctx.random, (uint32_t)EARLY_READ_JITTER);
+  store->membership_changed_at = node->ctx.now;
   store->started_at = node->ctx.now;
   store->state.is_configured = node->settings.store[0] != '\0';
   for (int i = 0; i < JOB_COUNT; i++)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -441,6 +441,47 @@
   { "8 s", 8 * PH_SECOND }, { "15 s", 15 * PH_SECOND },
 };
 
+/* Members that a node learns of in each step while a large fleet starts. */
+#define MEMBERS_PER_STEP 4
+
+/* Time by which a fleet that starts together knows all its members, and its ranks. */
+#define STARTED_BY (4 * PH_SECOND)
+
+static void
+learn_members (uint32_t node, uint32_t step)
+{
+  for (uint32_t i = 0; i < MEMBERS_PER_STEP; i++)
+    {
+      uint32_t other = (node + 1 + step * MEMBERS_PER_STEP + i) % fake.c->node_count;
+      PhMemberRecord record;
+
+      fill_member_record (other, &record);
+      if (other != node && step * MEMBERS_PER_STEP + i + 1 < fake.c->node_count)
+        ph_member_merge (&fake.nodes[node].ctx, fake.nodes[node].world, &record);
+    }
+}
+
+/* Guards against nodes that take themselves for watchers while they learn of the others: of 195
+ * nodes that start together, 39 listed the store and 108 read a contact object (fleetbench
+ * chre-mesh-large quiet-1). */
+static void
+test_large_start (void)
+{
+  /* Each node is in a group of its own, so that it knows no other at first. */
+  const Case c = { .latency = PH_MS, .node_count = NODES_MAX, .group_count = NODES_MAX };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+
+  start_fake (&c, loop);
+  for (uint32_t step = 0; fake.now < STARTED_BY; fake.now += STEP_TIME, step++)
+    {
+      for (uint32_t i = 0; i < c.node_count; i++)
+        learn_members (i, step);
+      run_fake_step ();
+    }
+  CU_ASSERT_EQUAL (fake.list_calls, WATCHERS);
+  stop_fake (loop);
+}
+
 /* Time by which the groups must be linked. On the object platform, nodes start 8 s before the first
  * calls arrive. */
 #define GROUPS_LINKED_BY (6 * PH_SECOND)
@@ -629,6 +670,7 @@
 
 static const PhTest tests[] = {
   { "one node of each data centre lists the store first", test_first_lists },
+  { "few nodes of a large fleet list the store when it starts", test_large_start },
   { "groups of nodes find each other through the contact objects", test_groups },
   { "watchers read a change soon after an outage", test_outages },
   { "calls do not grow with the fleet, a final status is written once", test_calls },
