--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -26,9 +26,10 @@
 
 /* The first candidate, and the nearer preference, are replaced only if the cost of the other one is
  * below this ratio of theirs. Small differences are noise in stale reports, and rotation spreads
- * calls more evenly than chance. */
+ * calls more evenly than chance. A VM is slow for less than a second, and its node then refuses
+ * calls, so the reports of a nearer one have to show more before a call crosses data centres. */
 #define ROTATION_COST_RATIO 0.8
-#define PREFERENCE_COST_RATIO 0.7
+#define PREFERENCE_COST_RATIO 0.5
 
 /* Expected wait at an upstream that is at its limit, as a multiple of its latency. */
 #define WAIT_AT_LIMIT_FACTOR 0.5
