--- a/source/node/store.h
+++ b/source/node/store.h
@@ -83,8 +83,8 @@
 typedef struct
 {
   PhStoreStatus status;
-  uint64_t revision; /* LIST, WATCH: revision of the store; otherwise of the object */
-  bool has_more;     /* LIST: another page follows */
+  uint64_t revision;      /* LIST, WATCH: revision of the store; otherwise of the object */
+  bool has_more;          /* LIST: another page follows */
   uint32_t skipped_count; /* LIST, WATCH: objects without valid metadata, which entry did not get */
   char next_after_path[PH_PATH_MAX]; /* LIST: after_path of the call for the next page */
 } PhStoreResult;
