--- a/review/lib.sh
+++ b/review/lib.sh
@@ -5,7 +5,7 @@
 case_dir=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 cd "$root" || exit 2
-node_program=target/pollenhitch
+node_program=${NODE_PROGRAM:-target/pollenhitch}
 standin=build/review/standin
 trouble=${TROUBLE:-1}
 work_dir=$(mktemp -d)
@@ -64,15 +64,15 @@
   run_in_background "node$1" $node_program platform --name "sidecar-$1" --address "$at" \
     --data-centre "${zones[$((($1 - 1) % 3))]}" --region bc-south --outbound "$at:8147" \
     --inbound "$at:8146" --ready "$at:8141" --heartbeats "$at:8144" --upstream "$at:8145" \
-    --service "$2" --store-address "$store" --port-control 7380 --port-admin 7395
+    --service "$2" --store-address "${store_of_nodes:-$store}" --port-control 7380 --port-admin 7395
 }
 start_backend () { # I SERVICE: a backend of 9 slots beside node I
   run_in_background "backend$1" $standin backend "$(address "$1"):8145" "$(address "$1"):8144" "$2" \
     "i-0000000$1" 9 "$work_dir/ran$1"
 }
-write_config () { # VERSION ROUTES
+write_config () { # VERSION ROUTES [METHOD PATH]
   local service='"healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false,"cold":"3s","coldPerS":19.0'
-  curl -sS -m 5 -f -o /dev/null -X POST "http://$store/objects/config" -d "{\"metadata\":{\"name\":\"main\"},
+  curl -sS -m 5 -f -o /dev/null -X "${3:-POST}" "http://$store/objects/config${4:-}" -d "{\"metadata\":{\"name\":\"main\"},
     \"spec\":{\"version\":\"$1\",\"routes\":{$2},\"services\":{\"book\":{$service},\"lib\":{$service}},
     \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}}" \
     || cannot_run "the configuration is not written"
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -14,6 +14,10 @@
  *     them, or "cut ..." if they did not come.
  *     SIGUSR1 makes it slow (the work takes SLOW times as long, default 5), SIGUSR2 ends that.
  *
+ *   standin proxy LISTEN TARGET
+ *     Relays connections. SIGUSR1 lets the open ones go silent for good, without a reset; new ones
+ *     work.
+ *
  *   standin consumer NODE HOST PATH METHOD BODY_BYTES CHUNKED PER_S SECONDS DEADLINE_MS SEED RECORD
  *     Sends requests at random times, each on a new connection, and records
  *     "sent TIME ID LENGTH HASH" and "answered TIME ID STATUS LENGTH COMPLETE MS".
@@ -23,6 +27,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdbool.h>
@@ -538,6 +543,82 @@
     }
 }
 
+/* Proxy. */
+
+static volatile sig_atomic_t silence_count;
+static const char *proxy_target;
+
+static void
+on_silence (int number)
+{
+  (void)number;
+  silence_count++;
+}
+
+/* Relays one connection. Once it is silent, its sockets stay open and nothing is read or sent. */
+static void *
+relay (void *user)
+{
+  static const int timeout_ms = 20;
+  int began_at = silence_count;
+  struct pollfd fds[2] = { { .fd = (int)(intptr_t)user, .events = POLLIN },
+                           { .fd = connect_to (proxy_target), .events = POLLIN } };
+  char bytes[16384];
+
+  while (fds[1].fd >= 0)
+    {
+      if (silence_count != began_at)
+        {
+          sleep_ms (100);
+          continue;
+        }
+      if (poll (fds, 2, timeout_ms) <= 0)
+        continue;
+      for (int i = 0; i < 2; i++)
+        {
+          ssize_t n = fds[i].revents != 0 ? recv (fds[i].fd, bytes, sizeof bytes, 0) : -2;
+
+          if (n == -2)
+            continue;
+          if (n <= 0 || !send_all (fds[1 - i].fd, bytes, (size_t)n))
+            goto end;
+        }
+    }
+
+end:
+  close (fds[0].fd);
+  if (fds[1].fd >= 0)
+    close (fds[1].fd);
+  return NULL;
+}
+
+static int
+proxy_main (char **argv)
+{
+  struct sockaddr_in a = parse_address (argv[0]);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int one = 1;
+
+  proxy_target = argv[1];
+  parse_address (proxy_target);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&a, sizeof a) < 0 || listen (fd, 256) < 0)
+    {
+      perror ("standin proxy");
+      return 2;
+    }
+  signal (SIGUSR1, on_silence);
+  for (;;)
+    {
+      int c = accept (fd, NULL, NULL);
+
+      if (c < 0)
+        continue;
+      setsockopt (c, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      start_thread (relay, (void *)(intptr_t)c);
+    }
+}
+
 /* Consumer. */
 
 static struct
@@ -693,6 +774,8 @@
     return backend_main (argv + 2);
   if (argc == 13 && strcmp (argv[1], "consumer") == 0)
     return consumer_main (argv + 2);
+  if (argc == 4 && strcmp (argv[1], "proxy") == 0)
+    return proxy_main (argv + 2);
   fprintf (stderr, "usage: see the comment at the start of standin.c\n");
   return 2;
 }
