--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -20,8 +20,8 @@
     3000 "$6" "$work_dir/$1"
 }
 note "traffic starts"
-consumers long /booking/e4000/w40/b200 "${BODY:-1000000}" "${RATE:-25}" "${TRAFFIC_S:-40}" 1
-consumers short /booking/w40/b200 1000 "${RATE:-25}" "${TRAFFIC_S:-40}" 2
+consumers long /booking/e4000/w40/b200 "${BODY:-1000000}" "${RATE:-25}" "${TRAFFIC_S:-5.5}" 1
+consumers short /booking/w40/b200 1000 "${RATE:-25}" "${TRAFFIC_S:-5.5}" 2
 wait "${pid[long]}" "${pid[short]}"
 sleep 1
 note "traffic ends"
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -6,7 +6,7 @@
  *     A backend at LISTEN (address:port) with heartbeats to NODE. It reads a whole request, waits
  *     for a slot, works, and answers. RECORD gets one line for each request that it runs:
  *     "ran TIME ID INSTANCE LENGTH HASH METHOD TARGET" with the length and hash of the body.
- *     Parts of a path set the work, in ms (wN), the size of the answer (bN), the time that it
+ *     Parts of a path set the work, in ms (wN, or WN for work that doesn't vary), the size of the answer (bN), the time that it
  *     takes to send it, in ms (pN), and that a backend
  *     with EARLY_PERCENT in its environment answers so many of these requests in chunks as soon as
  *     it has read N bytes of a longer body, keeps the connection and reads on later (eN). It then records "rest TIME ID INSTANCE LENGTH HASH METHOD TARGET" with
@@ -368,9 +368,17 @@
            (unsigned long long)m->body_length, (unsigned long long)m->body_hash, method, target);
   fflush (record);
   pthread_mutex_unlock (&backend.lock);
+  work = path_number (target, 'W', 0);
+  if (work > 0)
+    {
+      sleep_ms (work);
+      goto worked;
+    }
   work = path_number (target, 'w', 100) * (is_slow ? backend.slow : 1);
   /* Real work varies: half to one and a half times. */
   sleep_ms (work * (0.5 + (double)(mix ((uint64_t)now_ms () ^ (uint64_t)fd) % 1000) / 1000));
+
+worked:
   is_ok = answer (fd, m, "200 OK", true, (size_t)path_number (target, 'b', 200),
                   path_number (target, 'p', 0));
   pthread_mutex_lock (&backend.lock);
