--- a/review/lib.sh
+++ b/review/lib.sh
@@ -56,7 +56,7 @@
 
 start_store () {
   run_in_background store build/standin-platform --address "$(address 250)" --port 8142
-  wait_until 5 curl -sf "http://$store/control/stats" || cannot_run "the store does not start"
+  wait_until 5 $standin call "$store" GET /control/stats store 0 "" || cannot_run "the store does not start"
 }
 start_node () { # I SERVICE: the run line of deploy/system.toml
   local at
@@ -72,13 +72,12 @@
 }
 write_config () { # VERSION ROUTES [METHOD PATH]
   local service='"healthPath":"/health","maxConnections":220,"protocol":"h1","tls":false,"cold":"3s","coldPerS":19.0'
-  curl -sS -m 5 -f -o /dev/null -X "${3:-POST}" "http://$store/objects/config${4:-}" -d "{\"metadata\":{\"name\":\"main\"},
+  $standin call "$store" "${3:-POST}" "/objects/config${4:-}" store 0 "{\"metadata\":{\"name\":\"main\"},
     \"spec\":{\"version\":\"$1\",\"routes\":{$2},\"services\":{\"book\":{$service},\"lib\":{$service}},
     \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}}" \
     || cannot_run "the configuration is not written"
 }
-is_ready () { curl -sf -m 2 -o /dev/null "http://$(address "$1"):8141/readiness"; }
+is_ready () { $standin call "$(address "$1"):8141" GET /readiness node 0 ""; }
 is_served () { # I PATH
-  curl -sf -m 2 -o /dev/null -H 'Host: a.example' -H "Attempt-Id: $(printf '%08x%08x' $RANDOM $RANDOM)" \
-    -H 'Deadline-Ms: 1000' "http://$(address "$1"):8147$2"
+  $standin call "$(address "$1"):8147" POST "$2" a.example "$(printf '%08x%08x' $RANDOM $RANDOM)" ""
 }
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -7,12 +7,15 @@
  *     for a slot, works, and answers. RECORD gets one line for each request that it runs:
  *     "ran TIME ID INSTANCE LENGTH HASH METHOD TARGET" with the length and hash of the body.
  *     Parts of a path set the work, in ms (wN, or WN for work that doesn't vary), the size of the
- * answer (bN), the time that it takes to send it, in ms (pN), and that a backend with EARLY_PERCENT
- * in its environment answers so many of these requests in chunks as soon as it has read N bytes of
- * a longer body, keeps the connection and reads on later (eN). It then records "rest TIME ID
- * INSTANCE LENGTH HASH METHOD TARGET" with the length and hash of all bytes that came as that body
- * and the id of a request that was among them, or "cut ..." if they did not come. SIGUSR1 makes it
- * slow (the work takes SLOW times as long, default 5), SIGUSR2 ends that.
+ *     answer (bN), the time that it takes to send it, in ms (pN), and that a backend with
+ *     EARLY_PERCENT in its environment answers so many of these requests in chunks as soon as it
+ *     has read N bytes of a longer body, keeps the connection and reads on later (eN). It then
+ *     records "rest TIME ID INSTANCE LENGTH HASH METHOD TARGET inside ID" with the length and hash
+ *     of all bytes that came as that body and the id of a request that was among them, or "cut ..."
+ *     if they did not all come.
+ *
+ *   standin call ADDRESS METHOD TARGET HOST ID BODY
+ *     Sends one request and exits with 0 if its status is 2xx.
  *
  *   standin proxy LISTEN TARGET
  *     Relays connections. SIGUSR1 lets the open ones go silent for good, without a reset; new ones
@@ -546,6 +549,32 @@
     }
 }
 
+/* One call, for the scripts: exits with 0 if the status is 2xx. */
+static int
+call_main (char **argv)
+{
+  static Reader reader;
+  Reader *r = &reader;
+  struct timeval limit = { 3, 0 };
+  Message m;
+  size_t size = strlen (argv[5]);
+  char head[1024];
+  int status = 0;
+  int n = snprintf (head, sizeof head,
+                    "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 1000\r\n"
+                    "Content-Type: application/json\r\nContent-Length: %zu\r\n"
+                    "Connection: close\r\n\r\n",
+                    argv[1], argv[2], argv[3], argv[4], size);
+
+  if ((r->fd = connect_to (argv[0])) < 0)
+    return 1;
+  setsockopt (r->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (send_all (r->fd, head, (size_t)n) && send_all (r->fd, argv[5], size) && read_head (r, &m)
+      && read_body (r, &m, true))
+    sscanf (m.first, "HTTP/1.1 %d", &status);
+  return status >= 200 && status < 300 ? 0 : 1;
+}
+
 /* Proxy. */
 
 static volatile sig_atomic_t silence_count;
@@ -781,6 +810,8 @@
     return backend_main (argv + 2);
   if (argc == 13 && strcmp (argv[1], "consumer") == 0)
     return consumer_main (argv + 2);
+  if (argc == 8 && strcmp (argv[1], "call") == 0)
+    return call_main (argv + 2);
   if (argc == 4 && strcmp (argv[1], "proxy") == 0)
     return proxy_main (argv + 2);
   fprintf (stderr, "usage: see the comment at the start of standin.c\n");
