A planned stop uses the time that the platform sets

The settings template had stop-seconds=5 for every deployment, and the HTTP servers were stopped while the connections of open calls were suspended. The last half second of it is kept for refusals: open calls are refused then as for their deadline, and a call that is not expected to end by then is refused at once as not run.

--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -261,6 +261,9 @@
  */
 void ph_call_timer (PhContext *ctx, PhWorld *world, uint32_t handle);
 
+/* ph_call_limit_deadlines: bring forward the deadlines that are later than latest. */
+void ph_call_limit_deadlines (PhWorld *world, PhTime latest);
+
 /* ph_reason_status: HTTP status of a refusal. ph_reason_name, ph_run_name: static text of a value,
  * as in the fields between nodes. The parse functions return false, and leave the value unchanged,
  * when text is not such a name. */
--- a/include/pollenhitch/fields.h
+++ b/include/pollenhitch/fields.h
@@ -39,6 +39,10 @@
 /* ph_number_parse: a decimal integer from 0 to max, without a sign, spaces or other text. */
 bool ph_number_parse (const char *text, uint64_t max, uint64_t *number);
 
+/* ph_duration_parse: convert a number with the unit ms or s, such as "1500ms" or "2.5s", to
+ * microseconds; at most 10^7 s. text may be NULL. Returns false for any other text. */
+bool ph_duration_parse (const char *text, PhTime *time);
+
 /* ph_flag_parse: "true" or "false". */
 bool ph_flag_parse (const char *text, bool *flag);
 
--- a/include/pollenhitch/settings.h
+++ b/include/pollenhitch/settings.h
@@ -11,9 +11,10 @@
 
 typedef enum
 {
-  PH_SETTING_TEXT,   /* const char * */
-  PH_SETTING_NUMBER, /* int64_t */
-  PH_SETTING_SWITCH  /* bool; a flag without a value, and no environment variable */
+  PH_SETTING_TEXT,     /* const char * */
+  PH_SETTING_NUMBER,   /* int64_t */
+  PH_SETTING_DURATION, /* int64_t, ms; a text such as "1500ms" or "6s", or seconds without a unit */
+  PH_SETTING_SWITCH    /* bool; a flag without a value, and no environment variable */
 } PhSettingKind;
 
 typedef struct
@@ -23,8 +24,8 @@
   size_t offset;             /* offset of the field in the subcommand's struct */
   const char *default_value; /* NULL if required or a switch; "" for no default: a text is
                                 then "", whatever min is, and a number is left unchanged */
-  int64_t min;               /* least value of a number, or least length of a text in bytes */
-  int64_t max;               /* greatest value of a number, or greatest length of a text in bytes */
+  int64_t min;               /* least number, duration in ms, or length of a text in bytes */
+  int64_t max;               /* greatest number, duration in ms, or length of a text in bytes */
   const char *help;          /* description for --help */
 } PhSetting;
 
@@ -52,7 +53,7 @@
                         void *target,
                         PhError *err);
 
-/* ph_settings_set: check a value of a number or text, not of a switch, and store it in the struct
+/* ph_settings_set: check a value of a setting that is not a switch, and store it in the struct
  * at target. A text is copied and lives as long as the process. Returns false with err naming the
  * setting, the value and what is allowed; target is then unchanged. */
 bool ph_settings_set (const PhSetting *setting, const char *value, void *target, PhError *err);
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -125,6 +125,7 @@
   uint64_t object_digests[PH_SYNC_BUCKETS]; /* digest of the objects in each bucket, see sync.h */
   uint32_t traced_limit;                    /* limit in the last limit-changed event */
   bool is_stopping;                         /* ph_world_stop was called */
+  PhTime stop_ends_at;                      /* end of a planned stop: no call lasts longer */
   bool refuses_callers;                     /* ph_world_refuse_callers was called */
   PhEffects effects;
   PhObjectDecodeFunc decode;
@@ -157,9 +158,14 @@
  */
 PhTime ph_world_tick (PhContext *ctx, PhWorld *world);
 
-/* ph_world_stop: begin a planned stop. The node announces that it leaves and refuses new calls of
- * other nodes as not run; calls in flight go on. */
-void ph_world_stop (PhContext *ctx, PhWorld *world);
+/*
+ * ph_world_stop: begin a planned stop that ends at ends_at.
+ *
+ * The node announces that it leaves and refuses new calls of other nodes as not run. Calls in
+ * flight go on until ends_at at the latest, when they are refused as for their deadline. A new call
+ * of a caller that is not expected to end by then is refused at once as not run.
+ */
+void ph_world_stop (PhContext *ctx, PhWorld *world, PhTime ends_at);
 
 /* ph_world_refuse_callers: begin the last phase of a planned stop. New calls of callers are refused
  * too, as not run, because the end of the process would cut them off. */
--- a/source/client/settings.c
+++ b/source/client/settings.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "pollenhitch/fields.h"
+
 #define ENV_NAME_MAX 96 /* bytes of the name of an environment variable */
 
 /* Builds the name of a setting's environment variable: POLLENHITCH_PORT_CALL for "port-call". */
@@ -33,6 +35,9 @@
 {
   if (setting->kind == PH_SETTING_TEXT)
     snprintf (text, size, "a text of %" PRId64 " to %" PRId64 " bytes", setting->min, setting->max);
+  else if (setting->kind == PH_SETTING_DURATION)
+    snprintf (text, size, "a duration from %" PRId64 "ms to %" PRId64 "ms", setting->min,
+              setting->max);
   else if (setting->max == INT64_MAX)
     snprintf (text, size, "a number of %" PRId64 " or more", setting->min);
   else
@@ -82,6 +87,21 @@
   return true;
 }
 
+/* Stores a duration in ms. A number without a unit is in seconds. */
+static bool
+store_duration (const ValueSource *source, const char *value, void *field, PhError *err)
+{
+  char seconds[32];
+  PhTime time;
+
+  snprintf (seconds, sizeof seconds, "%ss", value);
+  if ((!ph_duration_parse (value, &time) && !ph_duration_parse (seconds, &time))
+      || time < source->setting->min * PH_MS || time > source->setting->max * PH_MS)
+    return set_value_error (source, value, err);
+  *(int64_t *)field = time / PH_MS;
+  return true;
+}
+
 static bool
 store_text (const ValueSource *source, const char *value, void *field, PhError *err)
 {
@@ -93,14 +113,26 @@
   return true;
 }
 
+static bool
+store_kind (const ValueSource *source, const char *value, void *field, PhError *err)
+{
+  switch (source->setting->kind)
+    {
+    case PH_SETTING_NUMBER:
+      return store_number (source, value, field, err);
+    case PH_SETTING_DURATION:
+      return store_duration (source, value, field, err);
+    default:
+      return store_text (source, value, field, err);
+    }
+}
+
 bool
 ph_settings_set (const PhSetting *setting, const char *value, void *target, PhError *err)
 {
   ValueSource source = { setting, NULL };
-  void *field = (char *)target + setting->offset;
 
-  return setting->kind == PH_SETTING_NUMBER ? store_number (&source, value, field, err)
-                                            : store_text (&source, value, field, err);
+  return store_kind (&source, value, (char *)target + setting->offset, err);
 }
 
 /* Stores the value of the flag, or else of the environment variable, or else the default. */
@@ -134,8 +166,7 @@
         *(const char **)field = value;
       return true;
     }
-  return setting->kind == PH_SETTING_NUMBER ? store_number (&source, value, field, err)
-                                            : store_text (&source, value, field, err);
+  return store_kind (&source, value, field, err);
 }
 
 /* A setting's help text with its range and its default. Release with g_free. */
@@ -148,6 +179,8 @@
     g_string_append_printf (text, "; %" PRId64 " or more", setting->min);
   else if (setting->kind == PH_SETTING_NUMBER)
     g_string_append_printf (text, "; %" PRId64 " to %" PRId64, setting->min, setting->max);
+  else if (setting->kind == PH_SETTING_DURATION)
+    g_string_append_printf (text, "; %" PRId64 "ms to %" PRId64 "ms", setting->min, setting->max);
   if (setting->kind != PH_SETTING_SWITCH && setting->default_value == NULL)
     g_string_append (text, "; required");
   else if (setting->kind != PH_SETTING_SWITCH && setting->default_value[0] != '\0')
@@ -169,9 +202,10 @@
       entries[i].arg = is_switch ? G_OPTION_ARG_NONE : G_OPTION_ARG_FILENAME;
       entries[i].arg_data = is_switch ? (void *)((char *)target + settings[i].offset) : &values[i];
       entries[i].description = format_description (&settings[i]);
-      entries[i].arg_description = is_switch                               ? NULL
-                                   : settings[i].kind == PH_SETTING_NUMBER ? "N"
-                                                                           : "TEXT";
+      entries[i].arg_description = is_switch                                 ? NULL
+                                   : settings[i].kind == PH_SETTING_NUMBER   ? "N"
+                                   : settings[i].kind == PH_SETTING_DURATION ? "DURATION"
+                                                                             : "TEXT";
     }
 }
 
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -27,6 +27,9 @@
 #define RETRY_AFTER_DIVISOR 4
 #define RETRY_AFTER_MAX (400 * PH_MS)
 
+/* During a planned stop a call is taken if at least this multiple of its objective is left. */
+#define STOP_OBJECTIVES_MIN 3
+
 /* What the reason of a failed attempt says about a further attempt. */
 typedef enum
 {
@@ -166,8 +169,35 @@
   return PH_REASON_NONE;
 }
 
+/* Time from now to the deadline of a new call. */
+static PhTime
+time_to_deadline (const PhCallOptions *opts, const PhService *service)
+{
+  return opts->time_left > 0 ? opts->time_left : (PhTime)service->rules.deadline_ms * PH_MS;
+}
+
+/* Whether a new call is expected to end before a planned stop does. */
+static bool
+ends_before_stop (const PhContext *ctx,
+                  const PhWorld *world,
+                  const PhCallOptions *opts,
+                  const PhService *service)
+{
+  PhTime latency = ph_retry_hedge_delay (&service->retry, opts->depth);
+  PhTime needed = opts->objective * STOP_OBJECTIVES_MIN;
+
+  if (latency != PH_TIME_NEVER && needed < latency)
+    needed = latency;
+  if (needed > time_to_deadline (opts, service))
+    needed = time_to_deadline (opts, service);
+  return ctx->now + needed <= world->stop_ends_at;
+}
+
 static PhReason
-check_call (const PhWorld *world, const PhCallOptions *opts, PhServiceId service_id)
+check_call (const PhContext *ctx,
+            const PhWorld *world,
+            const PhCallOptions *opts,
+            PhServiceId service_id)
 {
   const PhService *service = ph_service_get (&world->services, service_id);
 
@@ -180,6 +210,8 @@
   /* A node that has just started does not know yet which services exist. */
   if (service == NULL || !service->is_configured)
     return world->config_revision == 0 ? PH_REASON_NO_CONFIGURATION : PH_REASON_UNKNOWN_SERVICE;
+  if (world->is_stopping && !ends_before_stop (ctx, world, opts, service))
+    return PH_REASON_STOPPING;
   return PH_REASON_NONE;
 }
 
@@ -205,8 +237,7 @@
   PhServiceId service_id
       = opts->service_id.v != 0 ? opts->service_id : ph_service_find (world, opts->service);
   PhService *service = ph_service_get (&world->services, service_id);
-  PhReason reason = check_call (world, opts, service_id);
-  PhTime time_left = opts->time_left;
+  PhReason reason = check_call (ctx, world, opts, service_id);
   PhCall *call;
   PhCallId id;
 
@@ -219,8 +250,6 @@
     memcpy (call->id, opts->id, PH_CALL_ID_SIZE);
   else
     generate_call_id (ctx, call->id);
-  if (time_left <= 0)
-    time_left = (PhTime)service->rules.deadline_ms * PH_MS;
   call->service = service_id;
   call->origin = opts->origin;
   call->is_idempotent = opts->is_idempotent;
@@ -236,7 +265,9 @@
                                      : PH_ATTEMPTS_MAX);
   call->objective_at = opts->objective > 0 ? ctx->now + opts->objective : PH_TIME_NEVER;
   call->opened_at = ctx->now;
-  call->deadline = ctx->now + time_left;
+  call->deadline = ctx->now + time_to_deadline (opts, service);
+  if (world->is_stopping && call->deadline > world->stop_ends_at)
+    call->deadline = world->stop_ends_at;
   call->user = opts->user;
   if (opts->origin == PH_ORIGIN_PEER)
     call->pinned_upstream = world->admission.upstream;
@@ -761,6 +792,22 @@
   refuse_call (ctx, world, id, PH_REASON_DEADLINE);
 }
 
+void
+ph_call_limit_deadlines (PhWorld *world, PhTime latest)
+{
+  PhCallId id = { 0 };
+
+  while ((id = ph_call_next (&world->calls, id)).v != 0)
+    {
+      PhCall *call = ph_call_get (&world->calls, id);
+
+      if (call->deadline <= latest)
+        continue;
+      call->deadline = latest;
+      ph_timer_add (&world->timers, latest, PH_TIMER_CALL, id.v);
+    }
+}
+
 static uint32_t
 count_open_attempts (const PhWorld *world, PhCallId call, PhUpstreamId upstream)
 {
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -210,9 +210,11 @@
 }
 
 void
-ph_world_stop (PhContext *ctx, PhWorld *world)
+ph_world_stop (PhContext *ctx, PhWorld *world, PhTime ends_at)
 {
   world->is_stopping = true;
+  world->stop_ends_at = ends_at;
+  ph_call_limit_deadlines (world, ends_at);
   ph_event_record (ctx, PH_EVENT_STOP, NULL, NULL, 0);
   ph_member_self_changed (ctx, world);
 }
--- a/source/node/front.c
+++ b/source/node/front.c
@@ -405,9 +405,30 @@
   return NULL;
 }
 
+/* libmicrohttpd aborts the process when it is stopped while a connection is suspended. */
+static void
+resume_suspended (PhFrontServer *server)
+{
+  PhDispatch *dispatch = server->node->dispatch;
+  PhExchangeId id = { 0 };
+
+  while ((id = ph_exchange_next (&dispatch->exchanges, id)).v != 0)
+    {
+      PhExchange *exchange = ph_exchange_get (&dispatch->exchanges, id);
+
+      if (exchange->listener == &server->listener && exchange->is_suspended)
+        {
+          exchange->is_suspended = false;
+          MHD_resume_connection (exchange->connection);
+        }
+    }
+}
+
 static void
 stop_server (PhFrontServer *server)
 {
+  if (server->node != NULL)
+    resume_suspended (server);
   ph_listener_stop (&server->listener);
   if (server->close_epoll_fd >= 0)
     {
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -28,6 +28,11 @@
 
 #define STOP_POLL_SECONDS 0.1
 
+/* A planned stop refuses the calls that are still open this long before its time limit, or at three
+ * quarters of a short limit, so that their callers get the refusals before the process ends. */
+#define STOP_REFUSAL_TIME (500 * PH_MS)
+#define STOP_REFUSAL_DIVISOR 4
+
 /* A node that knows no other live member is ready after this time, in which it would have learned
  * of other nodes. */
 #define ALONE_READY_TIME (3 * PH_SECOND)
@@ -65,8 +70,8 @@
     1, 65536, "most connections of callers" },
   { "connections-per-caller", PH_SETTING_NUMBER, offsetof (PhNodeSettings, connections_per_caller),
     "2048", 1, 65536, "most connections from one caller address" },
-  { "stop-seconds", PH_SETTING_NUMBER, offsetof (PhNodeSettings, stop_seconds), "60", 3, 3600,
-    "longest time that a planned stop waits for calls" },
+  { "stop-seconds", PH_SETTING_DURATION, offsetof (PhNodeSettings, stop_limit_ms), "60", 3000,
+    3600000, "time after which the process is killed when it is asked to stop" },
   { "events", PH_SETTING_NUMBER, offsetof (PhNodeSettings, event_capacity), "8192", 16, 1048576,
     "events kept for the timeline" },
   { "probe-path", PH_SETTING_TEXT, offsetof (PhNodeSettings, probe_path), "/", 1, 200,
@@ -156,8 +161,17 @@
   (void)events;
 }
 
+/* Time between the refusal of the open calls and the limit of a planned stop. */
+static PhTime
+stop_refusal_time (const PhNode *node)
+{
+  PhTime time = node->settings.stop_limit_ms * PH_MS / STOP_REFUSAL_DIVISOR;
+
+  return time < STOP_REFUSAL_TIME ? time : STOP_REFUSAL_TIME;
+}
+
 /* Runs every STOP_POLL_SECONDS after the grace time of a planned stop. Ends the loop when no call
- * is open, or after the maximum time. */
+ * is open, or when the limit is near. */
 static void
 on_stop_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -168,7 +182,7 @@
   (void)events;
   ph_node_update_clock (node);
   ph_world_refuse_callers (node->world);
-  is_timed_out = node->ctx.now >= node->stop_at + node->settings.stop_seconds * PH_SECOND;
+  is_timed_out = node->ctx.now >= node->stop_ends_at + stop_refusal_time (node) / 2;
   if (is_timed_out)
     ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_STOP, NULL,
             "planned stop: timed out, calls open: %u", node->dispatch->exchanges.count);
@@ -188,6 +202,7 @@
 on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
 {
   PhNode *node = watcher->data;
+  int64_t grace_ms;
 
   (void)events;
   if (node->world->is_stopping)
@@ -195,10 +210,14 @@
   ph_node_update_clock (node);
   ph_log (&node->ctx, PH_LOG_INFO, PH_STEP_STOP, NULL,
           "planned stop: started by SIGTERM or SIGINT");
-  node->stop_at = node->ctx.now;
-  ph_world_stop (&node->ctx, node->world);
-  /* The grace time may have been reloaded since the timer was initialised. */
-  ev_timer_set (&node->stop_timer, (double)node->settings.stop_grace_ms / 1e3, STOP_POLL_SECONDS);
+  node->stop_ends_at
+      = node->ctx.now + node->settings.stop_limit_ms * PH_MS - stop_refusal_time (node);
+  ph_world_stop (&node->ctx, node->world, node->stop_ends_at);
+  /* The settings may have been reloaded since the timer was initialised. */
+  grace_ms = node->settings.stop_limit_ms / 2;
+  if (node->settings.stop_grace_ms < grace_ms)
+    grace_ms = node->settings.stop_grace_ms;
+  ev_timer_set (&node->stop_timer, (double)grace_ms / 1e3, STOP_POLL_SECONDS);
   ev_timer_start (loop, &node->stop_timer);
 }
 
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -47,7 +47,7 @@
   int64_t call_capacity;          /* maximum of open calls */
   int64_t caller_connections;     /* maximum of connections from callers */
   int64_t connections_per_caller; /* maximum of connections from one caller address */
-  int64_t stop_seconds;           /* longest time that a planned stop waits for open calls */
+  int64_t stop_limit_ms;          /* a planned stop has to end within this time */
   int64_t event_capacity;         /* events kept for the timeline */
   const char *probe_path;         /* path that a health check requests, see probe.h */
   const char *settings_file;      /* see reload.h, "" for none */
@@ -114,7 +114,7 @@
   ev_timer wake_timer; /* ends the loop's sleep when a system has work due */
   ev_timer stop_timer; /* checks during a planned stop whether calls are open */
   PhTime started_at;
-  PhTime stop_at;            /* start of the planned stop */
+  PhTime stop_ends_at;       /* when a planned stop refuses the calls that are still open */
   bool is_quiesced;          /* the ports for calls accept no more connections */
   ev_signal stop_signals[2]; /* SIGTERM and SIGINT */
 } PhNode;
--- a/source/node/reload.c
+++ b/source/node/reload.c
@@ -16,14 +16,14 @@
 typedef struct
 {
   const char *log_level;
-  int64_t stop_seconds;
+  int64_t stop_limit_ms;
   int64_t stop_grace_ms;
 } ReloadableSettings;
 
 static const PhSetting settings_table[] = {
   { "log-level", PH_SETTING_TEXT, offsetof (ReloadableSettings, log_level), NULL, 4, 7, "" },
-  { "stop-seconds", PH_SETTING_NUMBER, offsetof (ReloadableSettings, stop_seconds), NULL, 1, 3600,
-    "" },
+  { "stop-seconds", PH_SETTING_DURATION, offsetof (ReloadableSettings, stop_limit_ms), NULL, 1000,
+    3600000, "" },
   { "stop-grace-ms", PH_SETTING_NUMBER, offsetof (ReloadableSettings, stop_grace_ms), NULL, 100,
     60000, "" },
 };
@@ -61,7 +61,7 @@
 {
   PhNodeSettings *settings = &node->settings;
   ReloadableSettings new_settings
-      = { settings->log_level, settings->stop_seconds, settings->stop_grace_ms };
+      = { settings->log_level, settings->stop_limit_ms, settings->stop_grace_ms };
   FILE *file = fopen (settings->settings_file, "r");
   char *text = NULL;
   size_t size;
@@ -85,7 +85,7 @@
   if (!read_lines (text, &new_settings, err))
     goto done;
   settings->log_level = new_settings.log_level;
-  settings->stop_seconds = new_settings.stop_seconds;
+  settings->stop_limit_ms = new_settings.stop_limit_ms;
   settings->stop_grace_ms = new_settings.stop_grace_ms;
   ph_log_set_level (settings->log_level);
   node->ctx.logs_events = ph_log_is_debug_enabled ();
--- a/source/wire/fields.c
+++ b/source/wire/fields.c
@@ -1,10 +1,14 @@
 #include "pollenhitch/fields.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#define DURATION_MAX_S 1e7
+
 /* Hop-by-hop fields, and those that libmicrohttpd and libcurl set themselves. */
 static const char *const not_forwarded[] = {
   "Connection",
@@ -41,6 +45,25 @@
   return true;
 }
 
+bool
+ph_duration_parse (const char *text, PhTime *time)
+{
+  char *unit;
+  double number;
+
+  if (text == NULL || text[0] < '0' || text[0] > '9')
+    return false;
+  number = strtod (text, &unit);
+  if (strcmp (unit, "ms") == 0)
+    number /= 1e3;
+  else if (strcmp (unit, "s") != 0)
+    return false;
+  if (!isfinite (number) || number > DURATION_MAX_S)
+    return false;
+  *time = (PhTime)(number * PH_SECOND + 0.5);
+  return true;
+}
+
 bool
 ph_flag_parse (const char *text, bool *flag)
 {
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -700,7 +700,7 @@
       local = fixture_announce (&s.fixture, c->state);
       fixture_set_out_of_service (&s.fixture, 0, c->is_out_of_service);
       if (c->is_stopping)
-        ph_world_stop (&s.fixture.ctx, s.fixture.world);
+        ph_world_stop (&s.fixture.ctx, s.fixture.world, PH_TIME_NEVER);
       call = open_script_call (&s, &(PhCallOptions){ .service = c->service,
                                                      .origin = c->origin,
                                                      .depth = c->depth,
@@ -721,6 +721,73 @@
     }
 }
 
+/* A call of a caller and a planned stop that ends STOP_TIME after it begins. */
+#define STOP_TIME (4 * PH_SECOND)
+
+typedef struct
+{
+  const char *name;
+  PhTime time_left;     /* to its deadline */
+  PhTime objective;     /* 0 for none */
+  PhTime latency;       /* measured for the service, 0 for no measurement */
+  PhTime refused_after; /* when a call without a response is refused for its deadline */
+  PhReason reason;      /* of the refusal at once, PH_REASON_NONE if it is taken */
+  bool is_open_before;  /* opened just before the stop begins, otherwise just after */
+} StopCase;
+
+static const StopCase stop_cases[] = {
+  { "deadline before the end", 2 * PH_SECOND, 3 * PH_SECOND, 0, PH_REASON_NONE, 2 * PH_SECOND,
+    false },
+  { "short objective", 9 * PH_SECOND, PH_SECOND, 0, STOP_TIME, PH_REASON_NONE, false },
+  { "long objective", 9 * PH_SECOND, 2 * PH_SECOND, 0, 0, PH_REASON_STOPPING, false },
+  { "nothing known", 9 * PH_SECOND, 0, 0, STOP_TIME, PH_REASON_NONE, false },
+  { "slow service", 9 * PH_SECOND, 0, 5 * PH_SECOND, 0, PH_REASON_STOPPING, false },
+  { "fast service", 9 * PH_SECOND, 0, PH_SECOND, STOP_TIME, PH_REASON_NONE, false },
+  { "open before", 9 * PH_SECOND, 9 * PH_SECOND, 0, STOP_TIME, PH_REASON_NONE, true },
+  { "open before, deadline before the end", PH_SECOND, 0, 0, PH_SECOND, PH_REASON_NONE, true },
+};
+
+/* Guards against calls that a stopping node takes although they are not expected to end in time,
+ * and against open calls that end with the process, without a refusal. review/5 */
+static void
+test_stop (void)
+{
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (stop_cases); i++)
+    {
+      const StopCase *c = &stop_cases[i];
+      const PhCallOptions opts
+          = { .service = FIXTURE_SERVICE, .time_left = c->time_left, .objective = c->objective };
+      PhCallId call = { 0 };
+      Script s;
+
+      start_script (&s);
+      for (int n = 0; c->latency != 0 && n < PH_HEDGE_SAMPLES_MIN; n++)
+        ph_retry_observe (&fixture_service (&s.fixture)->retry, 0, c->latency);
+      if (c->is_open_before)
+        call = open_script_call (&s, &opts);
+      ph_world_stop (&s.fixture.ctx, s.fixture.world, s.fixture.ctx.now + STOP_TIME);
+      if (!c->is_open_before)
+        call = open_script_call (&s, &opts);
+      if ((call.v != 0) != (c->reason == PH_REASON_NONE))
+        CU_FAIL (c->name);
+      if (call.v == 0)
+        {
+          CU_ASSERT_EQUAL (s.refusal.reason, c->reason);
+          CU_ASSERT_EQUAL (s.refusal.run, PH_RUN_NO);
+          fixture_stop (&s.fixture);
+          continue;
+        }
+      fixture_tick (&s.fixture, c->refused_after - PH_MS);
+      if (ph_call_get (&s.fixture.world->calls, call) == NULL)
+        CU_FAIL (c->name);
+      fixture_tick (&s.fixture, PH_MS);
+      if (ph_call_get (&s.fixture.world->calls, call) != NULL
+          || s.refusal.reason != PH_REASON_DEADLINE || s.refusal.run != PH_RUN_UNKNOWN)
+        CU_FAIL (c->name);
+      fixture_stop (&s.fixture);
+    }
+}
+
 /* Guards against calls that are opened and aborted within one tick and leave stale entries in the
  * queue of pending calls: when these fill the queue, a later call is never processed. */
 static void
@@ -846,6 +913,7 @@
   { "outcomes of attempts", test_outcomes },
   { "hedges by size of the response and location of upstreams", test_hedges },
   { "calls admitted or refused on arrival", test_open },
+  { "calls during a planned stop", test_stop },
   { "aborted calls in the queue of pending calls", test_stale_pending },
   { "data centre out of service, not yet known here", test_unknown_outage },
   { "share of an upstream that fails fast", test_fast_failures },
--- a/tests/test_call_random.c
+++ b/tests/test_call_random.c
@@ -235,7 +235,7 @@
   else if (draw_percent (run, 3))
     add_event (run, random_duration (run, 30 * PH_MS), EVENT_ABORT, run->opened);
   if (++run->opened == CALLS * 99 / 100)
-    ph_world_stop (&f->ctx, f->world);
+    ph_world_stop (&f->ctx, f->world, PH_TIME_NEVER);
   if (run->opened < CALLS)
     add_event (run, random_duration (run, 4 * PH_MS), EVENT_OPEN, 0);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -657,7 +657,7 @@
       break;
     case STEP_LEAVE:
       host->ctx.now = fleet.now;
-      ph_world_stop (&host->ctx, host->world);
+      ph_world_stop (&host->ctx, host->world, PH_TIME_NEVER);
       tick (host);
       break;
     case STEP_RESTART:
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "pollenhitch/fields.h"
 #include "test.h"
 
 /* Adapter of the object platform: decoding of what it receives, and encoding of what it sends. */
@@ -42,7 +43,7 @@
     {
       PhTime time = -1;
 
-      if (!platform_duration_parse (duration_cases[i].text, &time))
+      if (!ph_duration_parse (duration_cases[i].text, &time))
         time = -1;
       if (time != duration_cases[i].time)
         CU_FAIL (duration_cases[i].text);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -164,7 +164,48 @@
   unsetenv ("POLLENHITCH_PORT");
 }
 
+/* Guards against a time limit in the platform's form that is refused, so that the default stays in
+ * use. review/5 */
+static const struct
+{
+  const char *text;
+  int64_t ms; /* -1: refused */
+} durations[] = {
+  { "6s", 6000 },
+  { "10s", 10000 },
+  { "3000ms", 3000 },
+  { "5", 5000 },
+  { "2.5s", 2500 },
+  { "0.5s", -1 },
+  { "3601s", -1 },
+  { "{{terms.bounds.grace}}", -1 },
+  { "6 s", -1 },
+  { "-6s", -1 },
+  { "", -1 },
+  { "6m", -1 },
+  { "3600000ms", 3600000 },
+};
+
+static void
+test_settings_durations (void)
+{
+  const PhSetting setting = { "limit", PH_SETTING_DURATION, 0, "60", 1000, 3600000, "a limit" };
+
+  for (size_t i = 0; i < PH_ARRAY_SIZE (durations); i++)
+    {
+      int64_t ms = -1;
+      PhError err;
+
+      if (!ph_settings_set (&setting, durations[i].text, &ms, &err)
+          && strstr (err.text, "a duration from 1000ms to 3600000ms") == NULL)
+        CU_FAIL (err.text);
+      if (ms != durations[i].ms)
+        CU_FAIL (durations[i].text);
+    }
+}
+
 static const PhTest tests[] = {
+  { "durations with and without a unit", test_settings_durations },
   { "invalid settings are rejected with a precise error", test_settings_cases },
 };
 PH_TEST_SUITE (settings, tests)
