Watches of the store are renewed in turn

Change: the first watcher of each data centre replaces its watches on a new connection, in turn with the other data centres; the interval is the dialect's, from the bound of each list. Calls to the store use no kept connection.

--- a/include/pollenhitch/member.h
+++ b/include/pollenhitch/member.h
@@ -299,6 +299,13 @@
 uint32_t
 ph_member_ranked (const PhWorld *world, const char *data_centre, PhMemberId *ids, uint32_t max);
 
+#define PH_MEMBER_DATA_CENTRES_MAX 64
+
+/* ph_member_data_centres: number of data centres that have live members, at most
+ * PH_MEMBER_DATA_CENTRES_MAX. Sets *place to the number of them that come before data_centre by
+ * name. */
+uint32_t ph_member_data_centres (const PhWorld *world, const char *data_centre, uint32_t *place);
+
 /* ph_member_init_message: set the kind, receiver, sender, revision and digest of a message to a
  * member; other fields are left as they are. */
 void ph_member_init_message (PhWorld *world,
--- a/source/core/member.c
+++ b/source/core/member.c
@@ -548,3 +548,28 @@
     }
   return count;
 }
+
+uint32_t
+ph_member_data_centres (const PhWorld *world, const char *data_centre, uint32_t *place)
+{
+  const char *names[PH_MEMBER_DATA_CENTRES_MAX];
+  PhMemberId id = { 0 };
+  uint32_t count = 0;
+
+  *place = 0;
+  while ((id = ph_member_next (&world->members, id)).v != 0)
+    {
+      const PhMemberRecord *record = &ph_member_get (&world->members, id)->record;
+      uint32_t i = 0;
+
+      if (!is_live (record))
+        continue;
+      while (i < count && strcmp (names[i], record->data_centre) != 0)
+        i++;
+      if (i < count || count == PH_MEMBER_DATA_CENTRES_MAX)
+        continue;
+      names[count++] = record->data_centre;
+      *place += strcmp (record->data_centre, data_centre) < 0 ? 1 : 0;
+    }
+  return count;
+}
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -475,6 +475,11 @@
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, STALL_TIMEOUT_SECONDS);
     }
+  if (opts->has_own_connection)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
   set_method (easy, opts);
 }
 
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -60,7 +60,9 @@
                                  of 60 s */
   bool is_body_collected; /* the body is collected in memory for ph_fetch_body instead of being read
                              in parts; for small responses */
-  uint32_t body_limit;    /* max bytes of a collected body; a larger one ends the transfer */
+  bool has_own_connection; /* no kept connection is used, and this one is not kept: a kept one may
+                              have gone silent */
+  uint32_t body_limit;     /* max bytes of a collected body; a larger one ends the transfer */
   PhTransferFuncs funcs;
   void *user;
 } PhTransferOptions;
--- a/source/node/store.c
+++ b/source/node/store.c
@@ -122,6 +122,7 @@
   int http_status;
   bool is_listed;            /* JOB_WATCH: the list is complete, changes are watched */
   uint64_t watched_revision; /* JOB_WATCH: revision of the store in the last response */
+  PhTime renew_at;           /* JOB_WATCH: when to replace an open watch by a new one */
 };
 
 struct PhStore
@@ -151,6 +152,8 @@
   uint32_t ranked_state_version; /* version of the membership at the last evaluation of the rank */
   PhTime next_rank_at;           /* earliest time of the next evaluation of the rank */
   bool is_first_by_rank;         /* this node is the first by rank in its data centre */
+  uint32_t renewing_count;       /* nodes that renew their watches: one in each data centre */
+  uint32_t renewing_index;       /* place of this data centre among them, by name */
   char *contact_text;            /* text that the contact object should have, owned */
   char *published_text;          /* text that the contact object is known to have, owned, or NULL */
   uint64_t contact_revision;     /* revision of the contact object, 0 when there is none */
@@ -362,6 +365,30 @@
   return job_prefix (job) != NULL && job->store->state.is_watcher && has_settled (job->store);
 }
 
+/* An open connection can go silent without an error, and a watch that waits on it misses all
+ * changes. The first watcher of each data centre therefore replaces its watch at regular times,
+ * each at another time than those of the other data centres, so that somewhere in the fleet a watch
+ * begins in every interval of the dialect. Other nodes learn of changes from the nodes that read
+ * them. */
+static PhTime
+renewal_interval (const Job *job)
+{
+  return job->store->dialect->renewal_intervals[job->kind - JOB_WATCH];
+}
+
+/* Sets the time of the next renewal. Watches of all data centres begin together after a change; the
+ * first renewal after it is at the place of this data centre in the sequence. */
+static void
+schedule_renewal (Job *job, bool has_changed)
+{
+  const PhStore *store = job->store;
+  uint32_t intervals = has_changed ? store->renewing_index + 1 : store->renewing_count;
+
+  job->renew_at = PH_TIME_NEVER;
+  if (store->is_first_by_rank && renewal_interval (job) != 0)
+    job->renew_at = store->node->ctx.now + intervals * renewal_interval (job);
+}
+
 static bool
 watch_start (Job *job, PhError *err)
 {
@@ -436,6 +463,8 @@
   if (was_list)
     finish_list (job, result->revision);
   job->watched_revision = result->revision;
+  if (is_new || was_list)
+    schedule_renewal (job, true);
   if (result->revision > store->state.revision)
     store->state.revision = result->revision;
   job->due_at = node->ctx.now + store->watch_interval;
@@ -853,6 +882,7 @@
                              .fields = fields,
                              .timeout = timeout,
                              .is_body_collected = true,
+                             .has_own_connection = true,
                              .body_limit = BODY_BYTES_MAX,
                              .funcs = { .head = on_head, .done = on_done },
                              .user = job };
@@ -936,19 +966,20 @@
   store->next_rank_at = now;
 }
 
+/* Place of this node in the sequence of renewals, from 1 on; 0 if it renews no watches. */
+static uint32_t
+renewal_place (const PhStore *store)
+{
+  return store->is_first_by_rank ? store->renewing_index + 1 : 0;
+}
+
 /* Number of watchers in this data centre: fewer when there are many data centres with members. */
 static uint32_t
 watchers_per_data_centre (const PhStore *store)
 {
-  const PhWorld *world = store->node->world;
-  PhDataCentreId id = { 0 };
-  PhMemberId first;
-  uint32_t count = 0;
+  uint32_t count = store->renewing_count;
   uint32_t share;
 
-  while ((id = ph_data_centre_next (&world->data_centres, id)).v != 0)
-    count
-        += ph_member_ranked (world, ph_data_centre_get (&world->data_centres, id)->name, &first, 1);
   share = count > 0 ? FLEET_WATCHERS_MAX / count : store->watcher_count;
   share = share < store->watcher_count ? share : store->watcher_count;
   return share > 0 ? share : 1;
@@ -962,6 +993,7 @@
   PhWorld *world = node->world;
   PhMemberId ids[PH_STORE_CONTACTS_MAX];
   uint32_t count;
+  uint32_t place;
   bool is_watcher = false;
 
   if (world->membership.is_joined && store->joined_at == 0)
@@ -977,8 +1009,14 @@
   store->next_rank_at
       = node->ctx.now + (store->is_settled ? RANK_INTERVAL : FIRST_RANK_SETTLE_TIME);
   store->ranked_state_version = world->membership.state_version;
+  place = renewal_place (store);
+  store->renewing_count
+      = ph_member_data_centres (world, own_data_centre (store), &store->renewing_index);
   count = ph_member_ranked (world, own_data_centre (store), ids, PH_STORE_CONTACTS_MAX);
   store->is_first_by_rank = count > 0 && ids[0].v == world->membership.self.v;
+  if (renewal_place (store) != place)
+    for (int i = JOB_WATCH; i < JOB_COUNT; i++)
+      schedule_renewal (&store->jobs[i], true);
   for (uint32_t i = 0; i < count && i < watchers_per_data_centre (store); i++)
     is_watcher = is_watcher || ids[i].v == world->membership.self.v;
   if (is_watcher != store->state.is_watcher)
@@ -1020,6 +1058,18 @@
     store->retrying_job = NULL;
 }
 
+/* Ends the watch of a job when its renewal is due; the next one then starts at once. */
+static void
+renew_watch (Job *job)
+{
+  if (job->kind < JOB_WATCH || job->call.action != PH_STORE_WATCH
+      || job->store->node->ctx.now < job->renew_at)
+    return;
+  cancel_transfer (job);
+  job->due_at = job->store->node->ctx.now;
+  schedule_renewal (job, false);
+}
+
 /* Starts a call of a job if one is due. Returns the time at which to run the job again, or
  * PH_TIME_NEVER when the job waits for an event rather than for a time. */
 static PhTime
@@ -1037,7 +1087,9 @@
       return PH_TIME_NEVER;
     }
   if (job->transfer_id.v != 0)
-    return PH_TIME_NEVER;
+    renew_watch (job);
+  if (job->transfer_id.v != 0)
+    return job->kind >= JOB_WATCH ? job->renew_at : PH_TIME_NEVER;
   if (job->due_at > now)
     return job->due_at;
   if (job->is_failing && store->retry_at > now)
--- a/source/node/store.h
+++ b/source/node/store.h
@@ -130,6 +130,10 @@
   bool (*read_report) (
       void *user, const char *text, size_t size, const PhMove *move, PhMoveOutcome *outcome);
   const char *prefixes[PH_CONFIG_LISTS_MAX]; /* of the configuration's paths; NULL after the last */
+  /* For each prefix, the longest time between the starts of two watches in the fleet, so that a
+   * change is read although the connections of open watches have gone silent. 0: until the watch
+   * ends. */
+  PhTime renewal_intervals[PH_CONFIG_LISTS_MAX];
   bool reports_open_moves; /* the start of a move is reported too, not only its end */
   void *user;
 } PhStoreDialect;
--- a/source/node/store_dialect.c
+++ b/source/node/store_dialect.c
@@ -201,7 +201,9 @@
                                          .decode = decode,
                                          .report_path = report_path,
                                          .read_report = read_report,
-                                         .prefixes = { "/teams/" } };
+                                         .prefixes = { "/teams/" },
+                                         /* A change has to be in force everywhere within 6 s. */
+                                         .renewal_intervals = { 4 * PH_SECOND } };
 
   return &native;
 }
