A request body is sent whole, or its connection is closed

Once a response was ready, the node discarded the rest of the caller's body and told the forward that the body was complete; libcurl used the connection again. The end of a body in chunks was made up. Change: the rest goes on to the upstream whose response is ready; bytes are discarded only when no forward takes them. A transfer that does not move while the buffer is full ends, with its connection.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -564,6 +564,22 @@
   return appended;
 }
 
+bool
+ph_dispatch_takes_body (const PhExchange *exchange)
+{
+  return exchange->winning_forward.v != 0 && !exchange->is_response_ended;
+}
+
+void
+ph_dispatch_body_blocked (PhExchange *exchange)
+{
+  PhDispatch *dispatch = exchange->dispatch;
+  const PhForward *winner = ph_forward_get (&dispatch->forwards, exchange->winning_forward);
+
+  if (winner != NULL)
+    ph_fetch_abort_if_stalled (dispatch->node->fetch, winner->transfer);
+}
+
 void
 ph_dispatch_body_end (PhExchange *exchange)
 {
@@ -644,7 +660,8 @@
              || (exchange->is_body_requested && !exchange->is_body_complete);
     case PH_EXCHANGE_BODY:
       trim_body (exchange);
-      return ph_dispatch_is_ready (exchange) || ph_buffer_free_space (&exchange->body) > 0;
+      return (ph_dispatch_is_ready (exchange) && !ph_dispatch_takes_body (exchange))
+             || ph_buffer_free_space (&exchange->body) > 0;
     case PH_EXCHANGE_WAITING:
       return ph_dispatch_is_ready (exchange);
     case PH_EXCHANGE_RESPONDING:
--- a/source/node/dispatch.h
+++ b/source/node/dispatch.h
@@ -114,6 +114,15 @@
  * many there was space for. */
 size_t ph_dispatch_body (PhExchange *exchange, const char *bytes, size_t size);
 
+/* ph_dispatch_takes_body: whether the forward whose response is ready still takes request bytes. An
+ * upstream may respond before it has read the whole body and read on later: a connection on which
+ * the body is not sent whole must not be used again. */
+bool ph_dispatch_takes_body (const PhExchange *exchange);
+
+/* ph_dispatch_body_blocked: request bytes wait because the buffer is full. Ends the forward whose
+ * response is ready if it does not move. */
+void ph_dispatch_body_blocked (PhExchange *exchange);
+
 /* ph_dispatch_body_end: the request body has been received completely. */
 void ph_dispatch_body_end (PhExchange *exchange);
 
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -17,9 +17,8 @@
  * line of a trailer: an endless one took 2.5 GB in 4 s. */
 #define RESPONSE_LINES_BYTES_MAX (128u * 1024)
 
-/* Time without a byte of the body after which a response is given up whose caller has closed its
- * connection. */
-#define CALLER_CLOSED_STALL_SECONDS 1L
+/* Time without a byte in either direction after which ph_fetch_abort_if_stalled ends a transfer. */
+#define SHORT_STALL_SECONDS 1L
 #define IDLE_HANDLES_MAX 256
 
 /* The queue of pending rows keeps dropped rows until the next tick, so it has to hold more rows
@@ -90,11 +89,24 @@
   t->is_pending = ph_queue_push (&t->fetch->pending, t->id.v);
 }
 
+/* Whether all bytes of a response with a length have arrived. */
+static bool
+has_whole_response (const Transfer *t)
+{
+  curl_off_t length = -1;
+
+  curl_easy_getinfo (t->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  return t->is_head_complete && !t->is_body_collected && length >= 0
+         && t->body.end == (uint64_t)length;
+}
+
 static void
 end_transfer (Transfer *t, CURLcode code)
 {
   t->is_ended = true;
-  t->result.is_ok = code == CURLE_OK;
+  /* An upstream that has responded may never read the rest of the request. */
+  t->result.is_ok
+      = code == CURLE_OK || (code == CURLE_OPERATION_TIMEDOUT && has_whole_response (t));
   t->result.is_sent = t->send_count > 0;
   t->result.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   snprintf (t->result.text, sizeof t->result.text, "%s", curl_easy_strerror (code));
@@ -570,7 +582,7 @@
   if (t == NULL || t->is_ended)
     return;
   curl_easy_setopt (t->easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-  curl_easy_setopt (t->easy, CURLOPT_LOW_SPEED_TIME, CALLER_CLOSED_STALL_SECONDS);
+  curl_easy_setopt (t->easy, CURLOPT_LOW_SPEED_TIME, SHORT_STALL_SECONDS);
   paused |= t->is_receive_paused ? CURLPAUSE_RECV : 0;
   paused |= t->is_send_paused ? CURLPAUSE_SEND : 0;
   /* Makes libcurl check the speed, also if nothing arrives. */
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -90,8 +90,9 @@
  * now. */
 void ph_fetch_resume (PhFetch *fetch, PhTransferId id);
 
-/* ph_fetch_abort_if_stalled: from now on, end a transfer as failed when no byte of its body arrives
- * for a second. */
+/* ph_fetch_abort_if_stalled: from now on, end a transfer when no byte moves for a second: as
+ * complete if the whole response has arrived, as failed otherwise. Libcurl takes the mean of up to
+ * 5 s. */
 void ph_fetch_abort_if_stalled (PhFetch *fetch, PhTransferId id);
 
 /* ph_fetch_drop_transfer: end a transfer and free its row; a stale handle is ignored. The
--- a/source/node/front.c
+++ b/source/node/front.c
@@ -16,9 +16,10 @@
 #define TABLE_FULL_TEXT "table-full; request run: no\n"
 #define RESPONSE_BLOCK_SIZE ((size_t)16 * 1024)
 
-/* Once an early response is ready, up to this many bytes of the request body are read and discarded
- * before it is sent. If the connection were closed while the caller is still sending, the caller
- * would get a reset and lose the response. 1 GiB is the largest body that is drained in this way.
+/* Once an early response is ready and no forward takes the request body any more, up to this many
+ * bytes of it are read and discarded before the response is sent. If the connection were closed
+ * while the caller is still sending, the caller would get a reset and lose the response. 1 GiB is
+ * the largest body that is drained in this way.
  */
 #define DISCARDED_BYTES_MAX ((uint64_t)1024 * 1024 * 1024)
 
@@ -204,14 +205,14 @@
   return MHD_YES;
 }
 
-/* Passes body bytes to the exchange and suspends the connection while the buffer is full. Once a
- * response is ready, the bytes are discarded. */
+/* Passes body bytes to the exchange and suspends the connection while the buffer is full. The bytes
+ * are discarded once a response is ready and no forward takes them any more. */
 static enum MHD_Result
 handle_body (PhExchange *exchange, const char *bytes, size_t *size)
 {
   size_t count;
 
-  if (ph_dispatch_is_ready (exchange))
+  if (ph_dispatch_is_ready (exchange) && !ph_dispatch_takes_body (exchange))
     {
       exchange->discarded_bytes += *size;
       *size = 0;
@@ -219,8 +220,10 @@
     }
   count = ph_dispatch_body (exchange, bytes, *size);
   *size -= count;
-  if (*size > 0)
-    suspend_exchange (exchange);
+  if (*size == 0)
+    return MHD_YES;
+  ph_dispatch_body_blocked (exchange);
+  suspend_exchange (exchange);
   return MHD_YES;
 }
 
