A queued attempt ends when the bytes it needs are discarded

A call waited in the queue of the local upstream while its hedge sent the body from another node; the bytes that the hedge had sent were discarded once the buffer was full, and the queued attempt then started before the beginning of the buffer, which counted as the end of the body. Change: the core cancels the queued attempt when bytes are discarded. A forward that is before the start of the buffer ends its transfer instead of ending the body.

--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -96,7 +96,7 @@
   PhCallState state;
   bool is_idempotent;
   bool is_pending; /* in the queue of the call system */
-  bool can_resend; /* the complete request body is still stored; set by the runtime */
+  bool can_resend; /* the complete request body is still stored */
   /* The request carries the field Pollenhitch-Rerun (the rerun mark): another attempt may run, or
    * have run, the same request. */
   bool is_rerun;
@@ -261,6 +261,11 @@
  */
 void ph_call_timer (PhContext *ctx, PhWorld *world, uint32_t handle);
 
+/* ph_call_body_discarded: the runtime no longer stores the first bytes of the request body, which
+ * an open attempt has sent. No further attempt can be made; another one that waits in the queue of
+ * the local upstream is cancelled. */
+void ph_call_body_discarded (PhContext *ctx, PhWorld *world, PhCallId id);
+
 /* ph_call_limit_deadlines: bring forward the deadlines that are later than latest. */
 void ph_call_limit_deadlines (PhWorld *world, PhTime latest);
 
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -393,6 +393,25 @@
   ph_call_remove (&world->calls, id);
 }
 
+void
+ph_call_body_discarded (PhContext *ctx, PhWorld *world, PhCallId id)
+{
+  PhCall *call = ph_call_get (&world->calls, id);
+  const PhAttemptId ids[] = { call != NULL ? call->latest_attempt : (PhAttemptId){ 0 },
+                              call != NULL ? call->hedge_attempt : (PhAttemptId){ 0 } };
+
+  if (call == NULL)
+    return;
+  call->can_resend = false;
+  for (int i = 0; i < 2; i++)
+    {
+      const PhAttempt *attempt = ph_attempt_get (&world->attempts, ids[i]);
+
+      if (attempt != NULL && attempt->state == PH_ATTEMPT_QUEUED && call->open_attempts > 1)
+        cancel_attempt (ctx, world, ids[i]);
+    }
+}
+
 static void
 observe_response (PhContext *ctx, PhWorld *world, const PhCall *call, const PhAttempt *attempt)
 {
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -55,12 +55,12 @@
 }
 
 /* Discards request bytes that every forward has sent, when the buffer is full. The call cannot
- * be sent again from then on. */
+ * be sent again from then on, and its attempts that have no forward yet are cancelled. */
 static void
 trim_body (PhExchange *exchange)
 {
   PhDispatch *dispatch = exchange->dispatch;
-  PhCall *call = ph_call_get (&dispatch->node->world->calls, exchange->call);
+  PhNode *node = dispatch->node;
   uint64_t min_offset = UINT64_MAX;
 
   if (ph_buffer_free_space (&exchange->body) > 0)
@@ -75,8 +75,7 @@
   if (min_offset == UINT64_MAX || min_offset <= exchange->body.begin)
     return;
   ph_buffer_trim (&exchange->body, min_offset);
-  if (call != NULL)
-    call->can_resend = false;
+  ph_call_body_discarded (&node->ctx, node->world, exchange->call);
 }
 
 /* Supplies request bytes to libcurl; see PhTransferFuncs. */
@@ -87,7 +86,8 @@
   PhExchange *exchange = ph_exchange_get (&forward->dispatch->exchanges, forward->exchange);
   size_t copied;
 
-  if (exchange == NULL)
+  /* Bytes that were discarded before they were sent are no end of the body. */
+  if (exchange == NULL || forward->body_offset < exchange->body.begin)
     return PH_READ_ABORT;
   copied = ph_buffer_copy (&exchange->body, forward->body_offset, buffer, size);
   forward->body_offset += copied;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -502,7 +502,7 @@
       ph_upstream_drop (&f->ctx, f->world, ph_attempt_get (&f->world->attempts, id)->upstream);
       break;
     case DO_DISCARD_BODY:
-      ph_call_get (&f->world->calls, call)->can_resend = false;
+      ph_call_body_discarded (&f->ctx, f->world, call);
     }
   fixture_tick (f, wait);
   ph_call_verify (f->world);
@@ -788,6 +788,63 @@
     }
 }
 
+/* Chooses the local upstream for the first attempt of a call, and a remote one for the others. */
+static PhUpstreamId
+choose_local_first (
+    void *user, PhContext *ctx, PhWorld *world, PhService *service, const PhCall *call)
+{
+  PhUpstreamId id = { 0 };
+
+  (void)user;
+  (void)ctx;
+  (void)service;
+  while ((id = ph_upstream_next (&world->upstreams, id)).v != 0)
+    if (ph_upstream_get (&world->upstreams, id)->is_local == (call->tried_count == 0))
+      return id;
+  return id;
+}
+
+/* Guards against an attempt that waits in the queue of the local upstream while the hedge sends the
+ * request, and then runs it without the bytes that are no longer stored. review/1 */
+static void
+test_discarded_body (void)
+{
+  for (int is_discarded = 0; is_discarded < 2; is_discarded++)
+    {
+      const PhCallOptions first_opts = { .service = FIXTURE_SERVICE,
+                                         .origin = PH_ORIGIN_PEER,
+                                         .upstream_epoch = 7,
+                                         .time_left = PH_SECOND };
+      PhCallId first;
+      PhCallId call;
+      Script s;
+
+      start_script (&s);
+      fixture_announce (&s.fixture, PH_UPSTREAM_READY);
+      prepare_budget (&s, 100, true);
+      fixture_service (&s.fixture)->rules.queue_ms = 500;
+      s.fixture.world->choose = choose_local_first;
+      first = open_script_call (&s, &first_opts); /* takes the only slot */
+      call = open_script_call (&s, &(PhCallOptions){ .service = FIXTURE_SERVICE,
+                                                     .is_idempotent = true,
+                                                     .can_resend = true,
+                                                     .time_left = PH_SECOND });
+      CU_ASSERT_EQUAL (s.started_count, 1);
+      fixture_tick (&s.fixture, 300 * PH_MS);
+      CU_ASSERT_EQUAL (s.started_count, 2); /* the hedge */
+      if (is_discarded)
+        ph_call_body_discarded (&s.fixture.ctx, s.fixture.world, call);
+      ph_call_verify (s.fixture.world);
+      ph_call_abort (&s.fixture.ctx, s.fixture.world, first);
+      fixture_tick (&s.fixture, PH_MS);
+      CU_ASSERT_EQUAL (s.started_count, is_discarded ? 2 : 3);
+      CU_ASSERT_EQUAL (ph_call_get (&s.fixture.world->calls, call)->open_attempts,
+                       is_discarded ? 1 : 2);
+      ph_call_abort (&s.fixture.ctx, s.fixture.world, call);
+      fixture_stop (&s.fixture);
+    }
+}
+
 /* Guards against calls that are opened and aborted within one tick and leave stale entries in the
  * queue of pending calls: when these fill the queue, a later call is never processed. */
 static void
@@ -914,6 +971,7 @@
   { "hedges by size of the response and location of upstreams", test_hedges },
   { "calls admitted or refused on arrival", test_open },
   { "calls during a planned stop", test_stop },
+  { "queued attempts whose request body was discarded", test_discarded_body },
   { "aborted calls in the queue of pending calls", test_stale_pending },
   { "data centre out of service, not yet known here", test_unknown_outage },
   { "share of an upstream that fails fast", test_fast_failures },
