A move that the store has as done stays done

Change: the store's end drops a verdict, and later ones are ignored. When all upstreams of a service are of a version that was taken back, they are chosen rather than none. Conclusion: done for the case; the other direction, an end that is written while other nodes have a verdict, is as it was.

--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -183,6 +183,10 @@
                              PhMemberId sender,
                              const PhMoveEvidence *evidence);
 
+/* ph_move_apply_done: the store has the move as done. Drops a verdict against the new version, and
+ * later ones are ignored: the old upstreams have stopped. */
+void ph_move_apply_done (PhContext *ctx, PhWorld *world, PhMoveId id);
+
 /* ph_move_state: the state of a move to send to other nodes. Its path points into *move. */
 PhMoveState ph_move_state (const PhMove *move);
 
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -634,6 +634,18 @@
     set_latency (ctx, service, upstream, upstream->latency_us);
 }
 
+/* Whether all upstreams of a service are of the version that a move leads to. */
+static bool
+has_only_target_version (const PhWorld *world, const PhService *service)
+{
+  for (uint32_t i = 0; i < service->upstream_count; i++)
+    if (strcmp (ph_upstream_get (&world->upstreams, service->upstreams[i])->version,
+                service->move_version)
+        != 0)
+      return false;
+  return true;
+}
+
 PhUpstreamId
 ph_choose_power_of_two (
     void *user, PhContext *ctx, PhWorld *world, PhService *service, const PhCall *call)
@@ -662,6 +674,9 @@
     id = draw_checked (ctx, world, service, call, 2 * PH_PREFERENCE_SUSPENDED + 1, id);
   if (id.v == 0 && count_eligible (service, false) == 0)
     id = draw_checked (ctx, world, service, call, 2 * PH_PREFERENCE_SUSPENDED, id);
+  /* A version that was taken back is better than none. */
+  if (id.v == 0 && !is_target_version && has_only_target_version (world, service))
+    id = choose_eligible (ctx, world, service, call, true);
   record_choice (ctx, world, service, id);
   return id;
 }
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -321,12 +321,30 @@
   ph_gossip_queue_move (ctx, world, id);
 }
 
+void
+ph_move_apply_done (PhContext *ctx, PhWorld *world, PhMoveId id)
+{
+  PhMove *move = ph_move_get (&world->moves, id);
+  PhMoveState done = ph_move_state (move);
+
+  move->is_final_status_written = true;
+  if (move->is_bad)
+    ph_log (ctx, PH_LOG_WARNING, PH_STEP_MOVE, NULL,
+            "%s: the store has the move to version %s as done: the verdict against it is dropped",
+            move->path, move->spec.to_version);
+  move->is_bad = false;
+  move->reason = PH_MOVE_REASON_NONE;
+  done.is_bad = false;
+  done.stage = PH_MOVE_STAGES;
+  ph_move_merge (ctx, world, &done);
+  ph_timer_add (&world->timers, ctx->now, PH_TIMER_MOVE, id.v);
+}
+
 /* Applies the outcome that the object itself reports. */
 static void
 apply_reported_outcome (PhContext *ctx, PhWorld *world, PhMoveId id)
 {
   PhMove *move = ph_move_get (&world->moves, id);
-  PhMoveState done = ph_move_state (move);
 
   if (!move->spec.has_reported_outcome)
     return;
@@ -339,8 +357,7 @@
       apply_reported_rollback (ctx, world, id);
       return;
     }
-  done.stage = PH_MOVE_STAGES;
-  ph_move_merge (ctx, world, &done);
+  ph_move_apply_done (ctx, world, id);
 }
 
 void
@@ -451,7 +468,10 @@
       set_stage (ctx, move, state->stage, sum_calls (route_counts));
       is_changed = true;
     }
-  if (state->is_bad && !move->is_bad && state->reason < PH_MOVE_REASON_COUNT)
+  /* The old upstreams stop when the store has the move as done: the verdict of a node that was cut
+   * off does not undo it. */
+  if (state->is_bad && !move->is_bad && state->reason < PH_MOVE_REASON_COUNT
+      && !(move->stage == PH_MOVE_STAGES && move->is_final_status_written))
     {
       set_bad (move, state->reason, state->route_bucket);
       ph_log (ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL,
--- a/source/node/store.c
+++ b/source/node/store.c
@@ -668,8 +668,11 @@
 
   move->is_final_status_written = true;
   if (store->stored_outcome == PH_MOVE_DONE)
-    state.stage = PH_MOVE_STAGES;
-  else if (store->stored_outcome == PH_MOVE_ROLLED_BACK && !state.is_bad)
+    {
+      ph_move_apply_done (&node->ctx, node->world, store->reported_move);
+      return;
+    }
+  if (store->stored_outcome == PH_MOVE_ROLLED_BACK && !state.is_bad)
     {
       state.is_bad = true;
       /* The reason is not read from the report: DEADLINE stands for any that another node found. */
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -920,7 +920,42 @@
     }
 }
 
+/* Guards against a node that was cut off and takes a move back that the store has as done: the old
+ * upstreams have stopped, and the service is refused. review/3 */
+static void
+test_done_stays_done (void)
+{
+  const PhMoveState verdict
+      = { .path = PATH, .revision = 2, .reason = PH_MOVE_REASON_FAILURES, .is_bad = true };
+
+  for (int is_verdict_first = 0; is_verdict_first < 2; is_verdict_first++)
+    {
+      PhObject object = { .path = PATH, .revision = 2, .kind = PH_OBJECT_MOVE };
+      PhMoveSpec *spec = &object.spec.move;
+      PhMoveReason reason;
+
+      start_bed (1, 0);
+      ph_text_copy (spec->service, sizeof spec->service, SERVICE);
+      ph_text_copy (spec->to_version, sizeof spec->to_version, "v2");
+      spec->duration = REQUESTED_DURATION;
+      spec->created_revision = 2;
+      ph_move_config_changed (&bed.ctx[0], bed.worlds[0], &object);
+      if (is_verdict_first)
+        ph_move_merge (&bed.ctx[0], bed.worlds[0], &verdict);
+      object.revision = 9;
+      spec->has_reported_outcome = true;
+      spec->reported_outcome = PH_MOVE_DONE;
+      ph_move_config_changed (&bed.ctx[0], bed.worlds[0], &object);
+      ph_move_merge (&bed.ctx[0], bed.worlds[0], &verdict);
+      run_seconds (1);
+      CU_ASSERT_EQUAL (ph_move_outcome (&bed.ctx[0], find_move (0, PATH), &reason), PH_MOVE_DONE);
+      CU_ASSERT_DOUBLE_EQUAL (service_at (0)->move_share, 1, 0);
+      stop_bed ();
+    }
+}
+
 static const PhTest tests[] = {
+  { "a move that the store has as done is not taken back", test_done_stays_done },
   { "bad versions are rolled back and good ones completed", test_cases },
   { "a service has two moves, one is changed and the other deleted", test_changes },
   { "calls during a cold start are not counted", test_cold_start },
