--- a/source/core/move.c
+++ b/source/core/move.c
@@ -64,8 +64,10 @@
 #define ALARM_THRESHOLD_DURATION 10.0
 
 /* A move with a duration whose highest sum is above this when it would be done is taken back: after
- * that the old upstreams are gone. */
+ * that the old upstreams are gone. There are two sums over all routes and sixteen of single ones,
+ * so that a lower threshold for the former raises no more false alarms. */
 #define DOUBT_THRESHOLD 6.0
+#define DOUBT_THRESHOLD_ALL_ROUTES 4.0
 
 /* When a sum is above ALARM_THRESHOLD divided by this, which takes one failure, the node sends its
  * counts with each evaluation. Used for a move with a duration only. With two failures, nodes that
@@ -923,6 +925,14 @@
   return sum;
 }
 
+/* Whether a move that would be done has to be taken back. */
+static bool
+is_doubtful (const PhMove *move)
+{
+  return highest_sum (move) >= DOUBT_THRESHOLD
+         || fmax (move->failure_sum, move->slow_sum) >= DOUBT_THRESHOLD_ALL_ROUTES;
+}
+
 /* Whether some test is more than halfway to its alarm threshold. */
 static bool
 is_suspect (const PhMove *move)
@@ -1207,7 +1217,7 @@
   if (!move->is_bad)
     evaluate_all_routes (ctx, move, &ratios);
   if (!move->is_bad && move->spec.duration != 0 && elapsed_fraction (ctx, move) >= LAST_STAGE_END
-      && highest_sum (move) >= DOUBT_THRESHOLD)
+      && is_doubtful (move))
     decide_bad (ctx, move, PH_MOVE_REASON_DEADLINE, ALL_ROUTE_BUCKETS);
   if (!move->is_bad && is_stage_over (ctx, world, move, &known) && !is_suspect (move))
     set_stage (ctx, move, next_stage (ctx, move), known.new_calls);
