Evaluations of a move go through the rows of evidence less often

Change: the rows of the old version are collected once for each evaluation; the bucket above which calls are slow is found in one pass. Conclusion: results are the same; the cost on a large fleet is not measured.

--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -27,8 +27,10 @@
 #define PH_MOVE_STAGES 8
 #define PH_DATAGRAM_MOVES_MAX 4     /* states in a datagram */
 #define PH_MOVE_CONCENTRATED_MAX 64 /* upstreams that a stage may concentrate its share on */
-#define PH_MOVES_MAX 64             /* rows of a node's table, and states in a sync message */
-#define PH_MOVE_TEXT_MAX 160        /* bytes of ph_move_condition */
+/* Rows of evidence, one for each move, process of a node and version; 0.7 MB. */
+#define PH_EVIDENCE_MAX 2048
+#define PH_MOVES_MAX 64      /* rows of a node's table, and states in a sync message */
+#define PH_MOVE_TEXT_MAX 160 /* bytes of ph_move_condition */
 
 typedef struct
 {
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -748,14 +748,16 @@
 static uint32_t
 slow_latency_bucket (const PhMoveCounts *counts)
 {
-  uint32_t median = 0;
+  uint32_t above = count_above (counts, 0);
   uint32_t bucket = 0;
+  uint32_t last = PH_MOVE_LATENCY_BUCKETS - 1;
 
-  while (median + 1 < PH_MOVE_LATENCY_BUCKETS && count_above (counts, median) * 2 > counts->calls)
-    median++;
-  while (bucket < median + 1 && bucket + 1 < PH_MOVE_LATENCY_BUCKETS
-         && count_above (counts, bucket) * 10 > counts->calls)
-    bucket++;
+  while (bucket < last && above * 10 > counts->calls)
+    {
+      if (above * 2 <= counts->calls && last > bucket + 1)
+        last = bucket + 1;
+      above -= counts->latency_buckets[++bucket];
+    }
   return bucket;
 }
 
@@ -767,11 +769,26 @@
   uint32_t slow_calls;
 } SlowControl;
 
-static bool
-is_old_row (const PhEvidence *row, PhMoveId id, uint32_t route_bucket)
+/* Rows of evidence of the old version. */
+typedef struct
 {
-  return row->move.v == id.v && !row->is_new_version
-         && row->route_counts[route_bucket].calls >= UPSTREAM_CALLS_MIN;
+  const PhEvidence *rows[PH_EVIDENCE_MAX];
+  uint32_t count;
+} OldRows;
+
+static void
+collect_old_rows (const PhWorld *world, PhMoveId id, OldRows *old)
+{
+  PhEvidenceId row_id = { 0 };
+
+  old->count = 0;
+  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+    {
+      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+
+      if (row->move.v == id.v && !row->is_new_version)
+        old->rows[old->count++] = row;
+    }
 }
 
 /* Measures how slow a typical upstream of the old version is: of the fastest upstreams that have
@@ -779,8 +796,7 @@
  * version behind a few slow upstreams. counts are those of all upstreams, which are used when no
  * upstream has enough calls. */
 static void
-measure_slow_control (const PhWorld *world,
-                      PhMoveId id,
+measure_slow_control (const OldRows *old,
                       uint32_t route_bucket,
                       const PhMoveCounts *counts,
                       SlowControl *control)
@@ -788,36 +804,33 @@
   uint32_t calls_by_bucket[PH_MOVE_LATENCY_BUCKETS] = { 0 };
   uint32_t total = 0;
   uint32_t below = 0;
-  PhEvidenceId row_id = { 0 };
 
   *control = (SlowControl){ .bucket = slow_latency_bucket (counts), .calls = counts->calls };
   control->slow_calls = count_above (counts, control->bucket);
   if (counts->calls < CONTROL_CALLS_MIN)
     return;
-  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+  for (uint32_t i = 0; i < old->count; i++)
     {
-      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+      const PhMoveCounts *row = &old->rows[i]->route_counts[route_bucket];
 
-      if (!is_old_row (row, id, route_bucket))
+      if (row->calls < UPSTREAM_CALLS_MIN)
         continue;
-      calls_by_bucket[slow_latency_bucket (&row->route_counts[route_bucket])]
-          += row->route_counts[route_bucket].calls;
-      total += row->route_counts[route_bucket].calls;
+      calls_by_bucket[slow_latency_bucket (row)] += row->calls;
+      total += row->calls;
     }
   if (total < CONTROL_CALLS_MIN)
     return;
   *control = (SlowControl){ 0 };
   while (below + calls_by_bucket[control->bucket] < TYPICAL_SHARE * total)
     below += calls_by_bucket[control->bucket++];
-  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+  for (uint32_t i = 0; i < old->count; i++)
     {
-      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+      const PhMoveCounts *row = &old->rows[i]->route_counts[route_bucket];
 
-      if (!is_old_row (row, id, route_bucket)
-          || slow_latency_bucket (&row->route_counts[route_bucket]) > control->bucket)
+      if (row->calls < UPSTREAM_CALLS_MIN || slow_latency_bucket (row) > control->bucket)
         continue;
-      control->calls += row->route_counts[route_bucket].calls;
-      control->slow_calls += count_above (&row->route_counts[route_bucket], control->bucket);
+      control->calls += row->calls;
+      control->slow_calls += count_above (row, control->bucket);
     }
 }
 
@@ -825,14 +838,16 @@
 ph_move_open_limits (const PhWorld *world, PhMoveId id, PhTime *limits)
 {
   PhMoveCounts old_counts[PH_MOVE_ROUTE_BUCKETS];
+  OldRows old;
 
   sum_evidence (world, id, false, old_counts);
+  collect_old_rows (world, id, &old);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
     {
       uint32_t bucket = PH_MOVE_LATENCY_BUCKETS - 2;
       SlowControl control;
 
-      measure_slow_control (world, id, i, &old_counts[i], &control);
+      measure_slow_control (&old, i, &old_counts[i], &control);
       if (old_counts[i].calls >= CONTROL_CALLS_MIN)
         bucket = control.bucket;
       limits[i] = latency_bucket_limits[bucket < PH_MOVE_LATENCY_BUCKETS - 1
@@ -877,6 +892,7 @@
 evaluate_route_bucket (PhContext *ctx,
                        const PhWorld *world,
                        PhMoveId id,
+                       const OldRows *old,
                        uint32_t route_bucket,
                        const PhMoveCounts *old_counts,
                        const PhMoveCounts *new_counts,
@@ -895,7 +911,7 @@
     decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, route_bucket);
   if (old_counts->calls < CONTROL_CALLS_MIN || move->is_bad)
     return;
-  measure_slow_control (world, id, route_bucket, old_counts, &control);
+  measure_slow_control (old, route_bucket, old_counts, &control);
   slow_rate = fmax ((control.slow_calls + 1) / (control.calls + PRIOR_CALLS), SLOW_RATE_MIN);
   ratios->slow += update_cusum (slow, new_counts->calls, count_above (new_counts, control.bucket),
                                 slow_rate, 0.2);
@@ -1164,6 +1180,7 @@
                 const PhWorld *world,
                 PhMoveId id,
                 const KnownCalls *known,
+                const OldRows *old,
                 const PhMoveCounts *old_counts,
                 const PhMoveCounts *new_counts)
 {
@@ -1178,7 +1195,7 @@
 
       if (new_counts[i].calls == 0)
         continue;
-      measure_slow_control (world, id, i, &old_counts[i], &control);
+      measure_slow_control (old, i, &old_counts[i], &control);
       size += (size_t)snprintf (
           text + size, sizeof text - size,
           "; route %u: new %u, failed %u, slow %u; old %u, failed %u, typical %u, slow %u above "
@@ -1206,16 +1223,18 @@
   uint32_t stage = move->stage;
   KnownCalls known;
   Ratios ratios = { 0 };
+  OldRows old;
 
   sum_evidence (world, id, false, old_counts);
   sum_evidence (world, id, true, new_counts);
+  collect_old_rows (world, id, &old);
   known = (KnownCalls){ .new_calls = sum_calls (new_counts),
                         .old_calls = sum_calls (old_counts),
                         .upstreams_per_row = upstreams_per_row (ctx, world, id) };
   if (move->evaluated_at != 0 && ctx->now - move->evaluated_at > PAUSE_MIN)
     set_stage (ctx, move, stage, known.new_calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS && !move->is_bad; i++)
-    evaluate_route_bucket (ctx, world, id, i, &old_counts[i], &new_counts[i], &ratios);
+    evaluate_route_bucket (ctx, world, id, &old, i, &old_counts[i], &new_counts[i], &ratios);
   if (!move->is_bad)
     evaluate_all_routes (ctx, move, &ratios);
   if (!move->is_bad && move->spec.duration != 0 && elapsed_fraction (ctx, move) >= LAST_STAGE_END
@@ -1227,7 +1246,7 @@
       && (move->is_bad || move->stage != stage || ctx->now >= move->logged_at + LOG_INTERVAL))
     {
       move->logged_at = ctx->now;
-      log_evaluation (ctx, world, id, &known, old_counts, new_counts);
+      log_evaluation (ctx, world, id, &known, &old, old_counts, new_counts);
     }
   if (!move->is_bad && move->stage == stage)
     return;
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -8,9 +8,6 @@
 
 #define DATA_CENTRES_MAX 64
 
-/* Rows of evidence, one for each move, process of a node and version; 0.7 MB. */
-#define EVIDENCE_MAX 2048
-
 /* Passes over the systems in one tick. More than one is needed because a system can make rows
  * pending for an earlier one: when admission refuses an attempt, its call goes back to the call
  * system. Rows that are still pending after the last pass are left to the next tick, which is due
@@ -68,7 +65,7 @@
     { &world->attempts, sizeof (PhAttempt), calls * 2 },
     { &world->objects, sizeof (PhObjectRow), objects },
     { &world->moves, sizeof (PhMove), PH_MOVES_MAX },
-    { &world->evidence, sizeof (PhEvidence), EVIDENCE_MAX },
+    { &world->evidence, sizeof (PhEvidence), PH_EVIDENCE_MAX },
     { &world->routes, sizeof (PhRoute), routes },
   };
 
