--- a/include/pollenhitch/choice.h
+++ b/include/pollenhitch/choice.h
@@ -69,15 +69,26 @@
 /* ph_choice_data_centre_changed: a data centre was taken out of service or put back. */
 void ph_choice_data_centre_changed (PhContext *ctx, PhWorld *world, PhDataCentreId id);
 
+/* Traffic of a move: the share of the calls that goes to a version. */
+typedef struct
+{
+  const char *version; /* "" for no move */
+  double share;        /* from 0 to 1 */
+  uint64_t path_hash;  /* of the move */
+  /* Of the version, only upstreams are chosen for which ph_hash_mix of the hash of their VM's name
+   * and path_hash is at least this; 0 for all. */
+  uint64_t score_min;
+} PhMoveTraffic;
+
 /*
- * ph_choice_set_move: send a share of the calls, from 0 to 1, to upstreams of a version.
+ * ph_choice_set_move: send a share of the calls to upstreams of a version.
  *
  * All other calls go to upstreams of other versions only. If no upstream of the version is
- * available, its share also goes to the other versions. version "" ends the move. Must be called
- * again when the share changes.
+ * available, its share also goes to the other versions. Must be called again when the traffic
+ * changes.
  */
-void ph_choice_set_move (
-    PhContext *ctx, PhWorld *world, PhServiceId id, const char *version, double share);
+void
+ph_choice_set_move (PhContext *ctx, PhWorld *world, PhServiceId id, const PhMoveTraffic *traffic);
 
 /* ph_choice_suspend: stop choosing an upstream for duration microseconds; a suspension that ends
  * later remains. is_withdrawn: its node refused calls because the choice was stale (see
--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -25,9 +25,10 @@
 /* Stages 0 to 7; a move at stage 8 is done. A move with a duration has stages 0 to 4 only, and goes
  * from 4 to 8. */
 #define PH_MOVE_STAGES 8
-#define PH_DATAGRAM_MOVES_MAX 4 /* states in a datagram */
-#define PH_MOVES_MAX 64         /* rows of a node's table, and states in a sync message */
-#define PH_MOVE_TEXT_MAX 160    /* bytes of ph_move_condition */
+#define PH_DATAGRAM_MOVES_MAX 4     /* states in a datagram */
+#define PH_MOVE_CONCENTRATED_MAX 64 /* upstreams that a stage may concentrate its share on */
+#define PH_MOVES_MAX 64             /* rows of a node's table, and states in a sync message */
+#define PH_MOVE_TEXT_MAX 160        /* bytes of ph_move_condition */
 
 typedef struct
 {
@@ -123,12 +124,15 @@
   PhTime final_status_at;       /* earliest time at which the final status may be written */
   PhTime stage_began_at;        /* when this node entered the stage */
   uint32_t stage_calls;         /* calls of the new version that were known here at that time */
+  PhTime logged_at;             /* time of the last log line on the evidence */
   PhTime evaluated_at;          /* time of the last periodic run of ph_move_timer */
   PhEvidenceId own_evidence;    /* row with the counts of the local upstream */
   PhTime evidence_sent_at;      /* when own_evidence was last sent */
   uint32_t evidence_sent_calls; /* calls in own_evidence at that time */
   PhMoveCusum failure_cusums[PH_MOVE_ROUTE_BUCKETS];
   PhMoveCusum slow_cusums[PH_MOVE_ROUTE_BUCKETS];
+  double failure_sum; /* as the sums of failure_cusums, over all route buckets */
+  double slow_sum;
   /* Last call of the local upstream that was slower than most and was counted. */
   PhTime last_slow_call_at[PH_MOVE_ROUTE_BUCKETS];
   uint32_t sends_left;   /* datagrams that are still to carry the state */
--- a/include/pollenhitch/upstream.h
+++ b/include/pollenhitch/upstream.h
@@ -163,6 +163,8 @@
   double latency_us;                            /* smoothed response time of the service */
   char move_version[PH_VERSION_MAX];            /* version that a move leads to, "" for none */
   double move_share;                            /* share of calls for that version, 0 to 1 */
+  uint64_t move_path_hash;                      /* these two as in PhMoveTraffic */
+  uint64_t move_score_min;
   bool is_move_open; /* a move of the service is neither done nor rolled back */
   PhRetryBudget retry;
   uint32_t choice_count; /* grows with the choices, from a random start; wraps around */
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -76,6 +76,16 @@
              : PH_PREFERENCE_OTHER_REGION;
 }
 
+/* Score of an upstream of the version that a move leads to, see PhMoveTraffic. */
+static uint64_t
+move_score (const PhWorld *world, const PhService *service, const PhUpstream *upstream)
+{
+  const PhMember *member = ph_member_get (
+      &world->members, upstream->is_local ? world->membership.self : upstream->member);
+
+  return member != NULL ? ph_hash_mix (member->name_hash, service->move_path_hash) : 0;
+}
+
 static uint32_t
 compute_group (const PhContext *ctx,
                const PhWorld *world,
@@ -85,6 +95,8 @@
   bool is_target_version
       = service->move_version[0] != '\0' && strcmp (service->move_version, upstream->version) == 0;
 
+  if (is_target_version && move_score (world, service, upstream) < service->move_score_min)
+    return 2 * (uint32_t)PH_PREFERENCE_EXCLUDED + 1;
   return 2 * (uint32_t)compute_preference (ctx, world, upstream) + is_target_version;
 }
 
@@ -180,18 +192,20 @@
 }
 
 void
-ph_choice_set_move (
-    PhContext *ctx, PhWorld *world, PhServiceId id, const char *version, double share)
+ph_choice_set_move (PhContext *ctx, PhWorld *world, PhServiceId id, const PhMoveTraffic *traffic)
 {
   PhService *service = ph_service_get (&world->services, id);
   PhUpstreamId upstream_id = { 0 };
 
   if (service == NULL)
     return;
-  service->move_share = share;
-  if (strcmp (service->move_version, version) == 0)
+  service->move_share = traffic->share;
+  if (strcmp (service->move_version, traffic->version) == 0
+      && service->move_score_min == traffic->score_min)
     return;
-  ph_text_copy (service->move_version, sizeof service->move_version, version);
+  ph_text_copy (service->move_version, sizeof service->move_version, traffic->version);
+  service->move_path_hash = traffic->path_hash;
+  service->move_score_min = traffic->score_min;
   while ((upstream_id = ph_upstream_next (&world->upstreams, upstream_id)).v != 0)
     if (ph_upstream_get (&world->upstreams, upstream_id)->service.v == id.v)
       ph_choice_update_group (ctx, world, upstream_id);
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -13,8 +13,15 @@
 #define FINAL_STATUS_DELAY (2 * PH_SECOND)
 #define FINAL_STATUS_DELAY_SHORT (300 * PH_MS) /* of a move with a duration */
 
+/* Route bucket in a verdict on all routes together. */
+#define ALL_ROUTE_BUCKETS PH_MOVE_ROUTE_BUCKETS
+
 #define EVALUATION_PERIOD (100 * PH_MS)
 
+/* Time between two log lines on the evidence of an open move; a step or a verdict always has one.
+ */
+#define LOG_INTERVAL PH_SECOND
+
 /* Slow calls of one node and route bucket within this time are taken to have one cause. */
 #define SLOW_BURST_TIME (100 * PH_MS)
 
@@ -51,15 +58,40 @@
  * one test is at least exp (16) = 9 million calls (Lorden 1971). */
 #define ALARM_THRESHOLD 16.0
 
+/* The threshold of a move with a duration, which has a few hundred to a few thousand calls of the
+ * new version: the mean time to a false alarm is at least exp (10) = 22,000 calls. A good version
+ * that is taken back costs another attempt, a bad one costs callers. */
+#define ALARM_THRESHOLD_DURATION 10.0
+
+/* A move with a duration whose highest sum is above this when it would be done is taken back: after
+ * that the old upstreams are gone. */
+#define DOUBT_THRESHOLD 6.0
+
 /* When a sum is above ALARM_THRESHOLD divided by this, which takes one failure, the node sends its
  * counts with each evaluation. Used for a move with a duration only. With two failures, nodes that
  * had 9 calls a second each reported a bad version 0.2 s later (fleetbench chre-mesh-large: 1,133
  * of 10,662 calls, 1,116 allowed). */
 #define FREQUENT_EVIDENCE_DIVISOR 16
 
+/* The largest difference between the rates that a test compares, as a fraction of the calls that
+ * are not bad. Without it, an old version that fails itself, since it is overloaded, puts the rate
+ * of a bad version out of reach. */
+#define DIFFERENCE_MAX 0.3
+
 /* Weight in calls of the prior estimate of the old version's rates: 1 in 20. */
 #define PRIOR_CALLS 20.0
 
+/* Calls of an upstream of the old version that are needed to tell how slow it is. */
+#define UPSTREAM_CALLS_MIN 8
+
+/* Share of the calls of the old version that the upstreams with a typical latency have. Up to a
+ * third of the upstreams may be slowed by neighbours of their VMs. */
+#define TYPICAL_SHARE 0.6
+
+/* Least fraction of slow calls of the old version. The typical upstreams are chosen for having few.
+ */
+#define SLOW_RATE_MIN 0.05
+
 /* Calls of the old version that are needed to compare response times. */
 #define CONTROL_CALLS_MIN 50
 
@@ -82,8 +114,21 @@
 {
   double share;
   double begins_by;
-} duration_stages[DURATION_STAGES]
-    = { { 0.01, 0 }, { 0.03, 0.5 }, { 0.1, 0.64 }, { 0.25, 0.67 }, { 0.5, 0.7 }, { 1, 0.73 } };
+  /* The share goes to a few upstreams, each of which gets the load of one in production: a version
+   * that is bad under load only does not show it at a small share of all upstreams. */
+  bool is_concentrated;
+} duration_stages[DURATION_STAGES] = {
+  { 0.01, 0, false },    { 0.17, 0.3, true },   { 0.02, 0.5, false },
+  { 0.06, 0.74, false }, { 0.25, 0.79, false }, { 1, 0.82, false },
+};
+
+/* A concentrated stage ends early with this many calls, if it has lasted for this fraction of the
+ * duration, in which slow calls show. */
+#define CONCENTRATED_CALLS 80
+#define CONCENTRATED_TIME_MIN 0.08
+
+/* Fraction of the upstreams of the new version that a concentrated stage uses, at least one. */
+#define CONCENTRATED_FRACTION 0.1
 
 #define EXPOSURE_SHARE 0.1
 #define EXPOSURE_SLACK 50
@@ -104,11 +149,11 @@
  * (fleetbench chre-mesh-large trouble-2: 1,459 to 1,875 calls of about 13,580, 1,409 allowed). */
 #define EVIDENCE_AGE_MAX PH_SECOND
 #define STEP_TIME_MIN 0.03
-#define LAST_STAGE_END 0.85
+#define LAST_STAGE_END 0.88
 
 /* Fraction of the duration after which an open move is rolled back. It is later than the end of the
  * last stage at a node that is not an evaluator, and leaves time to write the report. */
-#define DURATION_USABLE 0.93
+#define DURATION_USABLE 0.97
 
 static const char *const reason_names[] = { "none", "failures", "slow", "deadline", "cancelled" };
 
@@ -633,30 +678,35 @@
   return *reason == PH_MOVE_REASON_NONE ? PH_MOVE_OPEN : PH_MOVE_ROLLED_BACK;
 }
 
+static double
+alarm_threshold (const PhMove *move)
+{
+  return move->spec.duration != 0 ? ALARM_THRESHOLD_DURATION : ALARM_THRESHOLD;
+}
+
 /* Adds the calls since the last evaluation to a test. calls and bad_calls are totals of the new
  * version; old_rate is the fraction of bad calls of the old version. The test compares the
  * hypotheses that the rate of the new version is slightly above old_rate, as a good version may
- * have it, and that it is three times as high plus excess. Returns true when the new version is
- * bad. */
-static bool
+ * have it, and that it is three times as high plus excess, but at most DIFFERENCE_MAX of the rest
+ * higher. Returns the log likelihood ratio of the added calls. */
+static double
 update_cusum (
     PhMoveCusum *cusum, uint32_t calls, uint32_t bad_calls, double old_rate, double excess)
 {
-  double good_rate = old_rate * 1.25 + 0.01;
-  double bad_rate = good_rate * 3 + excess;
+  double good_rate = fmin (old_rate * 1.25 + 0.01, 0.6);
+  double bad_rate = fmin (good_rate * 3 + excess, good_rate + (1 - good_rate) * DIFFERENCE_MAX);
+  double ratio;
   uint32_t new_calls = calls > cusum->call_count ? calls - cusum->call_count : 0;
   uint32_t new_bad_calls
       = bad_calls > cusum->bad_call_count ? bad_calls - cusum->bad_call_count : 0;
 
-  good_rate = good_rate < 0.6 ? good_rate : 0.6;
-  bad_rate = bad_rate < 0.95 ? bad_rate : 0.95;
   new_bad_calls = new_bad_calls < new_calls ? new_bad_calls : new_calls;
   cusum->call_count = max_u32 (cusum->call_count, calls);
   cusum->bad_call_count = max_u32 (cusum->bad_call_count, bad_calls);
-  cusum->sum += new_bad_calls * log (bad_rate / good_rate)
-                + (new_calls - new_bad_calls) * log ((1 - bad_rate) / (1 - good_rate));
-  cusum->sum = cusum->sum > 0 ? cusum->sum : 0;
-  return cusum->sum >= ALARM_THRESHOLD;
+  ratio = new_bad_calls * log (bad_rate / good_rate)
+          + (new_calls - new_bad_calls) * log ((1 - bad_rate) / (1 - good_rate));
+  cusum->sum = fmax (cusum->sum + ratio, 0);
+  return ratio;
 }
 
 /* Calls in the latency buckets above a bucket. */
@@ -670,17 +720,83 @@
   return count;
 }
 
-/* The latency bucket that holds the 90th percentile. */
+/* The latency bucket above which a call is slow: that of the 90th percentile, but at most the one
+ * after that of the median. Attempts that lost against a hedge count in the slowest bucket and can
+ * be more than a tenth. */
 static uint32_t
-p90_latency_bucket (const PhMoveCounts *counts)
+slow_latency_bucket (const PhMoveCounts *counts)
 {
+  uint32_t median = 0;
   uint32_t bucket = 0;
 
-  while (bucket + 1 < PH_MOVE_LATENCY_BUCKETS && count_above (counts, bucket) * 10 > counts->calls)
+  while (median + 1 < PH_MOVE_LATENCY_BUCKETS && count_above (counts, median) * 2 > counts->calls)
+    median++;
+  while (bucket < median + 1 && bucket + 1 < PH_MOVE_LATENCY_BUCKETS
+         && count_above (counts, bucket) * 10 > counts->calls)
     bucket++;
   return bucket;
 }
 
+/* Counts of the old version on one route bucket, for the comparison of latencies. */
+typedef struct
+{
+  uint32_t bucket; /* latency bucket above which a call is slow */
+  uint32_t calls;
+  uint32_t slow_calls;
+} SlowControl;
+
+static bool
+is_old_row (const PhEvidence *row, PhMoveId id, uint32_t route_bucket)
+{
+  return row->move.v == id.v && !row->is_new_version
+         && row->route_counts[route_bucket].calls >= UPSTREAM_CALLS_MIN;
+}
+
+/* Measures how slow a typical upstream of the old version is: of the fastest upstreams that have
+ * TYPICAL_SHARE of the calls, the slowest. The calls of all upstreams together would hide a slow
+ * version behind a few slow upstreams. counts are those of all upstreams, which are used when no
+ * upstream has enough calls. */
+static void
+measure_slow_control (const PhWorld *world,
+                      PhMoveId id,
+                      uint32_t route_bucket,
+                      const PhMoveCounts *counts,
+                      SlowControl *control)
+{
+  uint32_t calls_by_bucket[PH_MOVE_LATENCY_BUCKETS] = { 0 };
+  uint32_t total = 0;
+  uint32_t below = 0;
+  PhEvidenceId row_id = { 0 };
+
+  *control = (SlowControl){ .bucket = slow_latency_bucket (counts), .calls = counts->calls };
+  control->slow_calls = count_above (counts, control->bucket);
+  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+    {
+      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+
+      if (!is_old_row (row, id, route_bucket))
+        continue;
+      calls_by_bucket[slow_latency_bucket (&row->route_counts[route_bucket])]
+          += row->route_counts[route_bucket].calls;
+      total += row->route_counts[route_bucket].calls;
+    }
+  if (total < CONTROL_CALLS_MIN)
+    return;
+  *control = (SlowControl){ 0 };
+  while (below + calls_by_bucket[control->bucket] < TYPICAL_SHARE * total)
+    below += calls_by_bucket[control->bucket++];
+  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+    {
+      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+
+      if (!is_old_row (row, id, route_bucket)
+          || slow_latency_bucket (&row->route_counts[route_bucket]) > control->bucket)
+        continue;
+      control->calls += row->route_counts[route_bucket].calls;
+      control->slow_calls += count_above (&row->route_counts[route_bucket], control->bucket);
+    }
+}
+
 void
 ph_move_open_limits (const PhWorld *world, PhMoveId id, PhTime *limits)
 {
@@ -689,10 +805,12 @@
   sum_evidence (world, id, false, old_counts);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
     {
-      uint32_t bucket = old_counts[i].calls >= CONTROL_CALLS_MIN
-                            ? p90_latency_bucket (&old_counts[i])
-                            : PH_MOVE_LATENCY_BUCKETS - 2;
+      uint32_t bucket = PH_MOVE_LATENCY_BUCKETS - 2;
+      SlowControl control;
 
+      measure_slow_control (world, id, i, &old_counts[i], &control);
+      if (old_counts[i].calls >= CONTROL_CALLS_MIN)
+        bucket = control.bucket;
       limits[i] = latency_bucket_limits[bucket < PH_MOVE_LATENCY_BUCKETS - 1
                                             ? bucket
                                             : PH_MOVE_LATENCY_BUCKETS - 2];
@@ -721,40 +839,75 @@
     }
 }
 
+/* Log likelihood ratios of the calls of one evaluation, over all route buckets. */
+typedef struct
+{
+  double failures;
+  double slow;
+} Ratios;
+
 /* Compares the calls of the two versions on one route bucket, and sets the bad flag if the new one
- * fails a larger fraction of them, or if a larger fraction is above the latency bucket of the old
- * version's 90th percentile. */
+ * fails a larger fraction of them, or if a larger fraction is above the latency bucket of the 90th
+ * percentile of the old version's typical upstreams. Adds to the ratios of all route buckets. */
 static void
 evaluate_route_bucket (PhContext *ctx,
-                       PhMove *move,
+                       const PhWorld *world,
+                       PhMoveId id,
                        uint32_t route_bucket,
                        const PhMoveCounts *old_counts,
-                       const PhMoveCounts *new_counts)
+                       const PhMoveCounts *new_counts,
+                       Ratios *ratios)
 {
+  PhMove *move = ph_move_get (&world->moves, id);
+  PhMoveCusum *failures = &move->failure_cusums[route_bucket];
+  PhMoveCusum *slow = &move->slow_cusums[route_bucket];
   double weight = old_counts->calls + PRIOR_CALLS;
-  uint32_t bucket;
+  SlowControl control;
+  double slow_rate;
 
-  if (update_cusum (&move->failure_cusums[route_bucket], new_counts->calls, new_counts->failures,
-                    (old_counts->failures + 1) / weight, 0.05))
+  ratios->failures += update_cusum (failures, new_counts->calls, new_counts->failures,
+                                    (old_counts->failures + 1) / weight, 0.05);
+  if (failures->sum >= alarm_threshold (move))
     decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, route_bucket);
   if (old_counts->calls < CONTROL_CALLS_MIN || move->is_bad)
     return;
-  bucket = p90_latency_bucket (old_counts);
-  if (update_cusum (&move->slow_cusums[route_bucket], new_counts->calls,
-                    count_above (new_counts, bucket),
-                    (count_above (old_counts, bucket) + 1) / weight, 0.2))
+  measure_slow_control (world, id, route_bucket, old_counts, &control);
+  slow_rate = fmax ((control.slow_calls + 1) / (control.calls + PRIOR_CALLS), SLOW_RATE_MIN);
+  ratios->slow += update_cusum (slow, new_counts->calls, count_above (new_counts, control.bucket),
+                                slow_rate, 0.2);
+  if (slow->sum >= alarm_threshold (move))
     decide_bad (ctx, move, PH_MOVE_REASON_SLOW, route_bucket);
 }
 
+/* Adds the ratios of one evaluation to the sums over all route buckets: a version that is bad on
+ * each of several routes shows in them before it does on one. */
+static void
+evaluate_all_routes (PhContext *ctx, PhMove *move, const Ratios *ratios)
+{
+  move->failure_sum = fmax (move->failure_sum + ratios->failures, 0);
+  move->slow_sum = fmax (move->slow_sum + ratios->slow, 0);
+  if (move->failure_sum >= alarm_threshold (move))
+    decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, ALL_ROUTE_BUCKETS);
+  else if (move->slow_sum >= alarm_threshold (move))
+    decide_bad (ctx, move, PH_MOVE_REASON_SLOW, ALL_ROUTE_BUCKETS);
+}
+
+/* The highest sum of all tests. */
+static double
+highest_sum (const PhMove *move)
+{
+  double sum = fmax (move->failure_sum, move->slow_sum);
+
+  for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
+    sum = fmax (sum, fmax (move->failure_cusums[i].sum, move->slow_cusums[i].sum));
+  return sum;
+}
+
 /* Whether some test is more than halfway to its alarm threshold. */
 static bool
 is_suspect (const PhMove *move)
 {
-  for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
-    if (move->failure_cusums[i].sum > ALARM_THRESHOLD / 2
-        || move->slow_cusums[i].sum > ALARM_THRESHOLD / 2)
-      return true;
-  return false;
+  return highest_sum (move) > alarm_threshold (move) / 2;
 }
 
 /* Least time that a stage lasts. */
@@ -932,6 +1085,10 @@
     return false;
   if (move->stage + 1 >= DURATION_STAGES)
     return move->stage < PH_MOVE_STAGES && elapsed >= LAST_STAGE_END;
+  if (duration_stages[move->stage].is_concentrated && is_paying
+      && known->new_calls >= move->stage_calls + CONCENTRATED_CALLS
+      && ctx->now - move->stage_began_at >= CONCENTRATED_TIME_MIN * move->spec.duration)
+    return true;
   return elapsed >= duration_stages[move->stage + 1].begins_by
          || (is_paying && elapsed >= FIRST_STEP
              && ctx->now - move->stage_began_at >= STEP_TIME_MIN * move->spec.duration
@@ -967,6 +1124,45 @@
   return stage;
 }
 
+/* Logs what an evaluation knows: progress, calls, rows of recent counts, and for each route bucket
+ * with calls of the new version the calls, failures and slow calls of both versions and the sums of
+ * the tests. */
+static void
+log_evaluation (PhContext *ctx,
+                const PhWorld *world,
+                PhMoveId id,
+                const KnownCalls *known,
+                const PhMoveCounts *old_counts,
+                const PhMoveCounts *new_counts)
+{
+  const PhMove *move = ph_move_get (&world->moves, id);
+  char text[512];
+  size_t size = 0;
+
+  text[0] = '\0';
+  for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS && size < sizeof text; i++)
+    {
+      SlowControl control;
+
+      if (new_counts[i].calls == 0)
+        continue;
+      measure_slow_control (world, id, i, &old_counts[i], &control);
+      size += (size_t)snprintf (
+          text + size, sizeof text - size,
+          "; route %u: new %u, failed %u, slow %u; old %u, failed %u, typical %u, slow %u above "
+          "bucket %u; sums %.1f and %.1f",
+          i, new_counts[i].calls, new_counts[i].failures,
+          count_above (&new_counts[i], control.bucket), old_counts[i].calls, old_counts[i].failures,
+          control.calls, control.slow_calls, control.bucket, move->failure_cusums[i].sum,
+          move->slow_cusums[i].sum);
+    }
+  ph_log (ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL,
+          "%s: evaluation in stage %u at %.2f of the duration: calls of the new version %u, of the "
+          "old one %u, upstreams for each known node %.1f%s",
+          move->path, move->stage, elapsed_fraction (ctx, move), known->new_calls, known->old_calls,
+          known->upstreams_per_row, text);
+}
+
 /* Sets the bad flag or advances the stage by the evidence known here. Runs on nodes of the new
  * version. */
 static void
@@ -977,6 +1173,7 @@
   PhMoveCounts new_counts[PH_MOVE_ROUTE_BUCKETS];
   uint32_t stage = move->stage;
   KnownCalls known;
+  Ratios ratios = { 0 };
 
   sum_evidence (world, id, false, old_counts);
   sum_evidence (world, id, true, new_counts);
@@ -986,9 +1183,20 @@
   if (move->evaluated_at != 0 && ctx->now - move->evaluated_at > PAUSE_MIN)
     set_stage (ctx, move, stage, known.new_calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS && !move->is_bad; i++)
-    evaluate_route_bucket (ctx, move, i, &old_counts[i], &new_counts[i]);
+    evaluate_route_bucket (ctx, world, id, i, &old_counts[i], &new_counts[i], &ratios);
+  if (!move->is_bad)
+    evaluate_all_routes (ctx, move, &ratios);
+  if (!move->is_bad && move->spec.duration != 0 && elapsed_fraction (ctx, move) >= LAST_STAGE_END
+      && highest_sum (move) >= DOUBT_THRESHOLD)
+    decide_bad (ctx, move, PH_MOVE_REASON_DEADLINE, ALL_ROUTE_BUCKETS);
   if (!move->is_bad && is_stage_over (ctx, world, move, &known) && !is_suspect (move))
     set_stage (ctx, move, next_stage (ctx, move), known.new_calls);
+  if (move->spec.duration != 0
+      && (move->is_bad || move->stage != stage || ctx->now >= move->logged_at + LOG_INTERVAL))
+    {
+      move->logged_at = ctx->now;
+      log_evaluation (ctx, world, id, &known, old_counts, new_counts);
+    }
   if (!move->is_bad && move->stage == stage)
     return;
   ph_gossip_queue_move (ctx, world, id);
@@ -998,14 +1206,10 @@
 static PhTime
 evidence_interval (const PhMove *move)
 {
-  double sum = 0;
-
   if (move->spec.duration == 0)
     return EVIDENCE_INTERVAL;
-  for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
-    sum = fmax (sum, fmax (move->failure_cusums[i].sum, move->slow_cusums[i].sum));
-  return sum > ALARM_THRESHOLD / FREQUENT_EVIDENCE_DIVISOR ? EVALUATION_PERIOD
-                                                           : EVIDENCE_INTERVAL_SHORT;
+  return highest_sum (move) > ALARM_THRESHOLD / FREQUENT_EVIDENCE_DIVISOR ? EVALUATION_PERIOD
+                                                                          : EVIDENCE_INTERVAL_SHORT;
 }
 
 /* Sends this node's counts to the evaluators and to one other random node of the new version, if
@@ -1034,6 +1238,65 @@
     }
 }
 
+/* Hash score of an upstream by which a concentrated stage selects upstreams. All nodes compute the
+ * same. */
+static uint64_t
+upstream_score (const PhWorld *world, const PhMove *move, const PhUpstream *upstream)
+{
+  return evaluator_score (world, move,
+                          upstream->is_local ? world->membership.self : upstream->member);
+}
+
+static bool
+is_concentrated (const PhContext *ctx, const PhMove *move)
+{
+  return is_running (ctx, move) && move->spec.duration != 0 && move->stage < DURATION_STAGES
+         && duration_stages[move->stage].is_concentrated;
+}
+
+/* Selects the ready upstreams of the new version with the highest scores. Sets *share to the share
+ * of the calls that gives each of them the load of one in production, at most that of the stage.
+ * Returns the lowest score selected, or 0 when there are none to select from. */
+static uint64_t
+select_upstreams (const PhWorld *world, const PhMove *move, double *share)
+{
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
+  uint64_t scores[PH_MOVE_CONCENTRATED_MAX];
+  uint32_t total = 0;
+  uint32_t count = 0;
+  uint32_t wanted;
+
+  for (uint32_t i = 0; service != NULL && i < service->upstream_count; i++)
+    {
+      const PhUpstream *upstream = ph_upstream_get (&world->upstreams, service->upstreams[i]);
+      const PhDataCentre *dc = ph_data_centre_get (&world->data_centres, upstream->data_centre);
+      uint64_t score = upstream_score (world, move, upstream);
+      uint32_t rank = count;
+
+      if (strcmp (upstream->version, move->spec.to_version) != 0)
+        continue;
+      total++;
+      if (upstream->state != PH_UPSTREAM_READY || (dc != NULL && dc->is_out_of_service))
+        continue;
+      while (rank > 0 && scores[rank - 1] < score)
+        rank--;
+      if (rank == PH_MOVE_CONCENTRATED_MAX)
+        continue;
+      if (count < PH_MOVE_CONCENTRATED_MAX)
+        count++;
+      memmove (&scores[rank + 1], &scores[rank], (count - rank - 1) * sizeof *scores);
+      scores[rank] = score;
+    }
+  if (count == 0)
+    return 0;
+  wanted = (uint32_t)(CONCENTRATED_FRACTION * total);
+  wanted = wanted < 1 ? 1 : wanted;
+  wanted = wanted < count ? wanted : count;
+  *share = fmin (*share, (double)wanted / total);
+  return scores[wanted - 1];
+}
+
 static const PhMove *
 newer_move (const PhMove *a, const PhMove *b)
 {
@@ -1081,14 +1344,26 @@
   if (ph_service_get (&world->services, id) != NULL)
     ph_service_get (&world->services, id)->is_move_open = running != NULL;
   if (running != NULL && has_started (ctx, running))
-    ph_choice_set_move (ctx, world, id, running->spec.to_version, ph_move_share (ctx, running));
+    {
+      double share = ph_move_share (ctx, running);
+      uint64_t score
+          = is_concentrated (ctx, running) ? select_upstreams (world, running, &share) : 0;
+
+      ph_choice_set_move (ctx, world, id,
+                          &(PhMoveTraffic){ .version = running->spec.to_version,
+                                            .share = share,
+                                            .path_hash = running->path_hash,
+                                            .score_min = score });
+    }
   else if (done != NULL)
-    ph_choice_set_move (ctx, world, id, done->spec.to_version, 1);
+    ph_choice_set_move (ctx, world, id,
+                        &(PhMoveTraffic){ .version = done->spec.to_version, .share = 1 });
   else if (running != NULL || rolled_back != NULL)
-    ph_choice_set_move (ctx, world, id, (running != NULL ? running : rolled_back)->spec.to_version,
-                        0);
+    ph_choice_set_move (
+        ctx, world, id,
+        &(PhMoveTraffic){ .version = (running != NULL ? running : rolled_back)->spec.to_version });
   else
-    ph_choice_set_move (ctx, world, id, "", 0);
+    ph_choice_set_move (ctx, world, id, &(PhMoveTraffic){ .version = "" });
 }
 
 void
