The log says which connection a response came on, and what it had carried

Change: a table of the open connections of the HTTP client (node/connections.c), filled from libcurl's callbacks; at debug, one line for each response of an attempt: VM, status, number of the connection, requests on it, whether the id was among them, time since the send. No decision hangs on it yet. Conclusion: an id that comes twice on one connection can be seen; next is the test that does it.

--- a/source/node/dialect.c
+++ b/source/node/dialect.c
@@ -38,6 +38,7 @@
   (void)user;
   (void)exchange;
   ph_call_id_format (call->id, id);
+  request->id_hash = ph_hash (id);
   ph_request_add (request, PH_FIELD_CALL ": %s", id);
   ph_request_add (request, PH_FIELD_DEADLINE ": %" PRId64,
                   ph_call_time_left (&node->ctx, call) / PH_MS);
--- a/source/node/dialect.h
+++ b/source/node/dialect.h
@@ -40,7 +40,8 @@
   /* Whether a field of a request is forwarded, to the local upstream or to another node, beyond
    * the rules of ph_field_is_forwarded. May be NULL: no further field is withheld. */
   bool (*is_forwarded) (void *user, const char *name);
-  /* Adds the fields that the node itself sets on a request to the local upstream. */
+  /* Adds the fields that the node itself sets on a request to the local upstream, and sets
+   * request->id_hash. */
   void (*add_upstream_fields) (void *user,
                                PhNode *node,
                                const PhExchange *exchange,
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -203,6 +203,26 @@
          && status != MHD_HTTP_GATEWAY_TIMEOUT;
 }
 
+/* Logs, at debug, where the response of an attempt came from. */
+static void
+log_response (PhForward *forward, const PhExchange *exchange, const PhAttempt *attempt, int status)
+{
+  PhNode *node = forward->dispatch->node;
+  PhTransferTrace trace;
+  char id[PH_CALL_ID_TEXT_SIZE];
+
+  if (!node->ctx.logs_events)
+    return;
+  trace = ph_fetch_trace (node->fetch, forward->transfer);
+  ph_call_id_format (exchange->call_id, id);
+  ph_log (&node->ctx, PH_LOG_DEBUG, PH_STEP_RESPONSE, id,
+          "response of %s: status %d, connection %llu, request %u on it%s, %lld us after the send",
+          attempt != NULL ? ph_trace_peer (node->world, attempt) : "", status,
+          (unsigned long long)trace.connection, trace.request_number,
+          trace.is_id_repeated ? " and not the first with this id" : "",
+          (long long)(node->ctx.now - trace.sent_at));
+}
+
 /* The head of a response has been received: selects the response for the caller, or fails the
  * attempt. */
 static void
@@ -222,6 +242,7 @@
       return;
     }
   apply_reports (forward);
+  log_response (forward, exchange, attempt, status);
   if (forward->is_local)
     classify_upstream_response (forward, exchange, status, &result);
   else
@@ -335,6 +356,7 @@
   opts.url = request.long_url != NULL ? request.long_url : request.url;
   opts.fields = request.fields;
   opts.body_size = exchange->body_size;
+  opts.id_hash = request.id_hash;
   /* The upstream may close a reused connection just as the request is sent, which leaves it
    * unknown whether the request was run. */
   opts.connection_idle_max
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -5,8 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "node/buffer.h"
+#include "node/connections.h"
 
 #define CONNECT_TIMEOUT_DEFAULT PH_SECOND
 #define CONNECTION_IDLE_DEFAULT (60 * PH_SECOND)
@@ -20,6 +23,7 @@
 /* Time without a byte in either direction after which ph_fetch_abort_if_stalled ends a transfer. */
 #define SHORT_STALL_SECONDS 1L
 #define IDLE_HANDLES_MAX 256
+#define IDLE_CONNECTIONS_MAX 1024
 
 /* The queue of pending rows keeps dropped rows until the next tick, so it has to hold more rows
  * than the table. */
@@ -48,6 +52,9 @@
   size_t collected_size;
   size_t body_limit;
   uint32_t send_count; /* times that the request was sent: 0 or 1 */
+  uint64_t id_hash;
+  int opened_fd; /* socket of the connection that was opened for this transfer, or -1 */
+  PhTransferTrace trace;
   int status;
   bool is_body_collected;
   bool is_pending;        /* in the pending queue */
@@ -75,6 +82,7 @@
   CURLM *multi;
   ev_timer timer; /* next timeout of libcurl */
   PhTable transfers;
+  PhConnections connections;
   PhQueue pending;                      /* transfers to report in the next tick */
   CURL *idle_handles[IDLE_HANDLES_MAX]; /* kept for reuse */
   uint32_t idle_count;
@@ -224,13 +232,14 @@
       goto fail;
     }
   if (!ph_table_init (&fetch->transfers, sizeof (Transfer), transfers, err)
+      || !ph_connections_init (&fetch->connections, transfers + IDLE_CONNECTIONS_MAX, err)
       || !ph_queue_init (&fetch->pending, transfers * PENDING_CAPACITY_FACTOR, err))
     goto fail;
   curl_multi_setopt (fetch->multi, CURLMOPT_SOCKETFUNCTION, update_socket_watcher);
   curl_multi_setopt (fetch->multi, CURLMOPT_SOCKETDATA, fetch);
   curl_multi_setopt (fetch->multi, CURLMOPT_TIMERFUNCTION, update_timer);
   curl_multi_setopt (fetch->multi, CURLMOPT_TIMERDATA, fetch);
-  curl_multi_setopt (fetch->multi, CURLMOPT_MAXCONNECTS, 1024L);
+  curl_multi_setopt (fetch->multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX);
   ev_timer_init (&fetch->timer, on_timer, 0, 0);
   fetch->timer.data = fetch;
   return fetch;
@@ -255,6 +264,7 @@
     curl_multi_cleanup (fetch->multi);
   ev_timer_stop (fetch->node->loop, &fetch->timer);
   ph_table_clear (&fetch->transfers);
+  ph_connections_clear (&fetch->connections);
   ph_queue_clear (&fetch->pending);
   free (fetch);
   curl_global_cleanup ();
@@ -299,6 +309,40 @@
   return CURL_SEEKFUNC_FAIL;
 }
 
+/* Called by libcurl to open the socket of a new connection. */
+static curl_socket_t
+open_socket (void *user, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  Transfer *t = user;
+
+  (void)purpose;
+  t->opened_fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  return t->opened_fd >= 0 ? t->opened_fd : CURL_SOCKET_BAD;
+}
+
+static int
+close_socket (void *user, curl_socket_t fd)
+{
+  PhFetch *fetch = user;
+
+  ph_connections_closed (&fetch->connections, fd);
+  return close (fd);
+}
+
+/* Records how the request is sent on its connection, which is NULL when it is not known. */
+static void
+record_send (Transfer *t, PhConnection *connection)
+{
+  t->send_count = 1;
+  t->trace.sent_at = t->fetch->node->ctx.now;
+  if (connection == NULL)
+    return;
+  t->trace.is_id_repeated = t->id_hash != 0 && ph_connection_has_carried (connection, t->id_hash);
+  ph_connection_carry (connection, t->id_hash);
+  t->trace.connection = connection->number;
+  t->trace.request_number = connection->request_count;
+}
+
 /* Called right before a request is sent on a connection. libcurl sends a request again when a
  * reused connection closes before the first response byte. The upstream may have run the request,
  * so the second send is stopped. */
@@ -306,14 +350,15 @@
 on_prerequest (void *user, char *ip, char *local_ip, int port, int local_port)
 {
   Transfer *t = user;
+  PhConnections *connections = &t->fetch->connections;
+  PhConnectionName name
+      = { .address = ip, .port = (uint16_t)port, .local_port = (uint16_t)local_port };
 
-  (void)ip;
   (void)local_ip;
-  (void)port;
-  (void)local_port;
   if (t->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
-  t->send_count = 1;
+  record_send (t, t->opened_fd >= 0 ? ph_connections_add (connections, &name, t->opened_fd)
+                                    : ph_connections_find (connections, &name));
   return CURL_PREREQFUNC_OK;
 }
 
@@ -480,6 +525,10 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, t);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, t);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, t);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, t->fetch);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_prerequest);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, t);
   if (!opts->is_body_collected)
@@ -540,6 +589,8 @@
   t->user = opts->user;
   t->is_body_collected = opts->is_body_collected;
   t->body_limit = opts->body_limit;
+  t->id_hash = opts->id_hash;
+  t->opened_fd = -1;
   ph_buffer_init (&t->body, PH_BODY_BUFFER_SIZE);
   t->easy = acquire_handle (fetch);
   if (t->easy == NULL || !copy_request (t, opts))
@@ -636,6 +687,14 @@
   return NULL;
 }
 
+PhTransferTrace
+ph_fetch_trace (PhFetch *fetch, PhTransferId id)
+{
+  const Transfer *t = transfer_get (&fetch->transfers, id);
+
+  return t != NULL ? t->trace : (PhTransferTrace){ 0 };
+}
+
 int64_t
 ph_fetch_length (PhFetch *fetch, PhTransferId id)
 {
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -22,6 +22,15 @@
   char text[128];  /* libcurl's description of the error */
 } PhTransferResult;
 
+/* How the request of a transfer was sent. */
+typedef struct
+{
+  uint64_t connection;     /* number of the connection at this node, from 1; 0 if not known */
+  uint32_t request_number; /* of the request on the connection, from 1 */
+  bool is_id_repeated;     /* the connection had carried the id of the request before */
+  PhTime sent_at;          /* 0 if it was not sent */
+} PhTransferTrace;
+
 /* Functions of a transfer's owner. head and data may be NULL, and read too when there is no body
  * or it is given in PhTransferOptions. */
 typedef struct
@@ -54,6 +63,7 @@
   const char *const *fields;  /* "Name: value" lines, NULL-terminated */
   int64_t body_size;          /* bytes, or PH_BODY_CHUNKED or PH_BODY_NONE */
   const char *body;           /* body_size bytes, copied; NULL when funcs.read supplies the body */
+  uint64_t id_hash;           /* hash of the id that the response repeats; 0 when it has none */
   PhTime timeout;             /* for the whole transfer; 0 for none; see ph_fetch_start */
   PhTime connect_timeout;     /* 0 for the default of 1 s */
   PhTime connection_idle_max; /* longest idle time of a connection that is reused; 0 for the default
@@ -108,6 +118,9 @@
 bool ph_fetch_field_at (
     PhFetch *fetch, PhTransferId id, uint32_t index, const char **name, const char **value);
 
+/* ph_fetch_trace: how the request was sent; all zero for a stale handle. */
+PhTransferTrace ph_fetch_trace (PhFetch *fetch, PhTransferId id);
+
 /* ph_fetch_length: Content-Length of the response in bytes, or -1. */
 int64_t ph_fetch_length (PhFetch *fetch, PhTransferId id);
 
--- a/source/node/request.c
+++ b/source/node/request.c
@@ -83,6 +83,7 @@
 
   (void)exchange;
   ph_call_id_format (call->id, id);
+  request->id_hash = ph_hash (id);
   ph_request_add (request, PH_FIELD_CALL ": %s", id);
   ph_request_add (request, PH_FIELD_DEADLINE ": %" PRId64,
                   ph_call_time_left (&node->ctx, call) / PH_MS);
@@ -144,6 +145,7 @@
   request->size = 0;
   request->long_url = NULL;
   request->is_full = false;
+  request->id_hash = 0;
   request->dialect = node->dialect;
   request->connection_field = request_field (exchange->connection, MHD_HTTP_HEADER_CONNECTION);
   if (!build_url (request, node, exchange, attempt))
--- a/source/node/request.h
+++ b/source/node/request.h
@@ -21,6 +21,7 @@
   char *long_url;               /* owned; used instead of url when the URL does not fit there */
   const char *connection_field; /* value of the request's Connection field, or NULL */
   bool is_full;                 /* a line did not fit */
+  uint64_t id_hash;             /* hash of the id that the response repeats; 0 when it has none */
   const PhDialect *dialect;
 } PhRequest;
 
