--- /dev/null
+++ b/tests/standins/stutter.c
@@ -0,0 +1,458 @@
+/*
+ * Upstream of the object platform whose connections carry bytes besides one answer
+ * to each request.
+ *
+ * Arguments: HOST:PORT INSTANCE. The path of a request is /ROUTE/MODE/FRAMING: a mode
+ * of the table below and "length", "chunked" or "close". The first run of an id gets
+ * status 200, each later one status 500, and the body names the id and the run. A second
+ * copy of an answer has the field X-Copy. GET /health is answered at once. On SIGTERM,
+ * prints how many requests came, and how many had an id that the same connection had
+ * carried before.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define CLIENTS_MAX 256
+#define IDS_MAX 65536
+#define ID_SIZE 40
+#define BYTES_MAX 8192
+#define CLIENT_IDS_MAX 64
+#define PAUSE_MS 20 /* between the parts of what is sent */
+
+/* When a second copy of an answer is sent, on the same connection. */
+typedef enum
+{
+  COPY_NONE,
+  COPY_TOGETHER, /* in the same write as the answer */
+  COPY_LATE,     /* PAUSE_MS after the answer */
+  COPY_DUE,      /* when the next request arrives, PAUSE_MS before its answer */
+  COPY_JOINED,   /* when the next request arrives, in the same write as its answer */
+  COPY_HALVES,   /* when the next request arrives, in two writes; the answer with the second one */
+  COPY_SPLIT     /* half of it with the answer, half when the next request arrives */
+} CopyTime;
+
+/* A head that does not come from one answer. */
+typedef enum
+{
+  HEAD_WHOLE,
+  HEAD_STATUS_CUT,  /* "HTTP/1.1 200 O", then an answer with status 500 */
+  HEAD_FIELD_CUT,   /* an answer cut within a field line, then one with status 500 */
+  HEAD_LINE_CUT,    /* an answer cut after a field line, then one with status 500 */
+  HEAD_TWO_IDS,     /* the ids of another request and of this one */
+  HEAD_TWO_SEALS,   /* two seals */
+  HEAD_TWO_LENGTHS, /* two lengths that differ */
+  HEAD_INTERIM,     /* an interim response with the id of another request, then the answer */
+  HEAD_STATUS_END,  /* cut within the status line, then the connection is closed */
+  HEAD_FIELD_END,   /* cut within a field line, then closed */
+  HEAD_LINE_END,    /* cut after a field line, then closed */
+  BODY_RESET        /* cut within the body, then the connection is reset */
+} HeadFault;
+
+static const struct
+{
+  const char *name;
+  CopyTime copy;
+  HeadFault head;
+} modes[] = {
+  { "plain", COPY_NONE, HEAD_WHOLE },
+  { "together", COPY_TOGETHER, HEAD_WHOLE },
+  { "late", COPY_LATE, HEAD_WHOLE },
+  { "due", COPY_DUE, HEAD_WHOLE },
+  { "joined", COPY_JOINED, HEAD_WHOLE },
+  { "halves", COPY_HALVES, HEAD_WHOLE },
+  { "split", COPY_SPLIT, HEAD_WHOLE },
+  { "status-cut", COPY_NONE, HEAD_STATUS_CUT },
+  { "field-cut", COPY_NONE, HEAD_FIELD_CUT },
+  { "line-cut", COPY_NONE, HEAD_LINE_CUT },
+  { "two-ids", COPY_NONE, HEAD_TWO_IDS },
+  { "two-seals", COPY_NONE, HEAD_TWO_SEALS },
+  { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS },
+  { "interim", COPY_NONE, HEAD_INTERIM },
+  { "status-end", COPY_NONE, HEAD_STATUS_END },
+  { "field-end", COPY_NONE, HEAD_FIELD_END },
+  { "line-end", COPY_NONE, HEAD_LINE_END },
+  { "body-reset", COPY_NONE, BODY_RESET },
+};
+
+typedef enum
+{
+  FRAMED_BY_LENGTH,
+  FRAMED_BY_CHUNKS,
+  FRAMED_BY_CLOSE
+} Framing;
+
+static const char *const framing_names[] = { "length", "chunked", "close" };
+
+typedef struct
+{
+  char bytes[BYTES_MAX];
+  size_t size;
+} Text;
+
+typedef struct
+{
+  size_t head_size;
+  long due_at_ms;
+  Text copy; /* bytes to send when the next request arrives */
+  Text due;  /* bytes to send at due_at_ms */
+  int fd;
+  CopyTime time; /* of copy */
+  unsigned id_count;
+  bool closes; /* once due has been sent */
+  char ids[CLIENT_IDS_MAX][ID_SIZE];
+  char head[BYTES_MAX]; /* of the request that is being read */
+} Client;
+
+static Client clients[CLIENTS_MAX];
+static nfds_t client_count;
+static char run_ids[IDS_MAX][ID_SIZE];
+static unsigned run_count, requests, repeated_ids;
+static const char *instance;
+static volatile sig_atomic_t is_stopped;
+
+static void
+on_term (int signal_number)
+{
+  (void)signal_number;
+  is_stopped = 1;
+}
+
+static long
+now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static void
+append (Text *text, const char *bytes, size_t size)
+{
+  if (size > sizeof text->bytes - text->size)
+    size = sizeof text->bytes - text->size;
+  memcpy (text->bytes + text->size, bytes, size);
+  text->size += size;
+}
+
+static bool
+send_text (int fd, const char *bytes, size_t size)
+{
+  return size == 0 || send (fd, bytes, size, MSG_NOSIGNAL) == (ssize_t)size;
+}
+
+/* Writes a complete answer. extra holds further field lines. */
+static void
+format_answer (
+    Text *text, const char *id, unsigned run, int status, Framing framing, const char *extra)
+{
+  char body[256];
+  char framing_line[64] = "";
+  int body_size = snprintf (body, sizeof body, "answer of %s to %s, run %u, status %d\n", instance,
+                            id, run, status);
+  int size;
+
+  if (framing == FRAMED_BY_LENGTH)
+    snprintf (framing_line, sizeof framing_line, "Content-Length: %d\r\n", body_size);
+  else if (framing == FRAMED_BY_CHUNKS)
+    snprintf (framing_line, sizeof framing_line, "Transfer-Encoding: chunked\r\n");
+  size = snprintf (text->bytes, sizeof text->bytes,
+                   "HTTP/1.1 %d %s\r\n%sAttempt-Id: %s\r\nResponse-Seal: %s.%u.%d\r\n%s", status,
+                   status == 200 ? "OK" : "Internal Server Error", extra, id, instance, run, status,
+                   framing_line);
+  text->size = (size_t)size;
+  if (framing == FRAMED_BY_CHUNKS)
+    size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size,
+                     "\r\n%x\r\n%s\r\n0\r\n\r\n", (unsigned)body_size, body);
+  else
+    size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size, "\r\n%s", body);
+  text->size += (size_t)size;
+}
+
+/* The size of an answer up to the end of a string in it. */
+static size_t
+size_up_to (const Text *answer, const char *end)
+{
+  const char *found = memmem (answer->bytes, answer->size, end, strlen (end));
+
+  return found != NULL ? (size_t)(found - answer->bytes) + strlen (end) : answer->size;
+}
+
+/* Sends what a mode with a faulty head makes of an answer. Returns false when the connection ends.
+ */
+static bool
+send_faulty_head (Client *client, HeadFault head, const char *id, unsigned run, Framing framing)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  static const char *const extra[] = {
+    [HEAD_TWO_IDS] = "Attempt-Id: 0123456789abcdef\r\n",
+    [HEAD_TWO_SEALS] = "Response-Seal: i-other.1.200\r\n",
+    [HEAD_TWO_LENGTHS] = "Content-Length: 7\r\n",
+    [BODY_RESET] = "",
+  };
+  Text answer = { .size = 0 };
+  Text other = { .size = 0 };
+  size_t size = 0;
+
+  format_answer (&answer, id, run, 200, framing, extra[head] != NULL ? extra[head] : "");
+  format_answer (&other, id, run, 500, framing, "");
+  switch (head)
+    {
+    case HEAD_STATUS_CUT:
+    case HEAD_STATUS_END:
+      size = size_up_to (&answer, " 200 O");
+      break;
+    case HEAD_FIELD_CUT:
+    case HEAD_FIELD_END:
+      size = size_up_to (&answer, "Response-Se");
+      break;
+    case HEAD_LINE_CUT:
+    case HEAD_LINE_END:
+      size = size_up_to (&answer, ".200\r\n"); /* the end of the seal */
+      break;
+    case BODY_RESET:
+      size = size_up_to (&answer, "answer of ");
+      break;
+    case HEAD_INTERIM:
+      {
+        static const char interim[]
+            = "HTTP/1.1 103 Early Hints\r\nAttempt-Id: 0123456789abcdef\r\nX-Interim: 1\r\n\r\n";
+
+        return send_text (client->fd, interim, strlen (interim))
+               && send_text (client->fd, answer.bytes, answer.size);
+      }
+    default:
+      return send_text (client->fd, answer.bytes, answer.size);
+    }
+  if (!send_text (client->fd, answer.bytes, size))
+    return false;
+  if (head == BODY_RESET)
+    {
+      usleep (PAUSE_MS * 1000);
+      setsockopt (client->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      return false;
+    }
+  if (head == HEAD_STATUS_END || head == HEAD_FIELD_END || head == HEAD_LINE_END)
+    return false;
+  return send_text (client->fd, other.bytes, other.size);
+}
+
+/* Copies the value of a field of the request into value. */
+static void
+read_field (const char *head, const char *name, char *value)
+{
+  const char *found = strcasestr (head, name);
+  size_t size = found != NULL ? strcspn (found + strlen (name), "\r\n") : 0;
+
+  snprintf (value, ID_SIZE, "%.*s", (int)(size < ID_SIZE ? size : ID_SIZE - 1),
+            found != NULL ? found + strlen (name) : "");
+}
+
+static unsigned
+count_run (const char *id)
+{
+  unsigned run = 1;
+
+  for (unsigned i = 0; i < run_count && i < IDS_MAX; i++)
+    run += strcmp (run_ids[i], id) == 0 ? 1 : 0;
+  snprintf (run_ids[run_count++ % IDS_MAX], ID_SIZE, "%s", id);
+  return run;
+}
+
+static void
+note_id (Client *client, const char *id)
+{
+  unsigned count = client->id_count < CLIENT_IDS_MAX ? client->id_count : CLIENT_IDS_MAX;
+
+  for (unsigned i = 0; i < count; i++)
+    if (strcmp (client->ids[i], id) == 0)
+      {
+        repeated_ids++;
+        return;
+      }
+  snprintf (client->ids[client->id_count++ % CLIENT_IDS_MAX], ID_SIZE, "%s", id);
+}
+
+/* Sends the rest of an earlier copy before the answer to the next request. Returns whether the
+ * answer must wait until the copy was read. */
+static bool
+send_pending_copy (Client *client)
+{
+  size_t half = client->copy.size / 2;
+
+  switch (client->time)
+    {
+    case COPY_DUE:
+    case COPY_SPLIT:
+      send_text (client->fd, client->copy.bytes, client->copy.size);
+      return true;
+    case COPY_HALVES:
+      send_text (client->fd, client->copy.bytes, half);
+      append (&client->due, client->copy.bytes + half, client->copy.size - half);
+      return true;
+    case COPY_JOINED:
+      append (&client->due, client->copy.bytes, client->copy.size);
+      return false;
+    default:
+      return false;
+    }
+}
+
+/* Sends the answer, and sets the copy that its mode asks for. Returns false when the connection
+ * ends. */
+static bool
+send_answer (Client *client, CopyTime time, const char *id, unsigned run, Framing framing)
+{
+  Text answer = { .size = 0 };
+  Text copy = { .size = 0 };
+  size_t half;
+  bool has_to_wait;
+
+  format_answer (&answer, id, run, run == 1 ? 200 : 500, framing, "");
+  format_answer (&copy, id, run, run == 1 ? 200 : 500, framing, "X-Copy: 1\r\n");
+  half = copy.size / 2;
+  client->due.size = 0;
+  has_to_wait = send_pending_copy (client);
+  client->copy.size = 0;
+  client->time = COPY_NONE;
+  append (&client->due, answer.bytes, answer.size);
+  client->closes = framing == FRAMED_BY_CLOSE;
+  if (run == 1 && time == COPY_TOGETHER)
+    append (&client->due, copy.bytes, copy.size);
+  if (run == 1 && time == COPY_SPLIT)
+    {
+      append (&client->due, copy.bytes, half);
+      append (&client->copy, copy.bytes + half, copy.size - half);
+      client->time = time;
+    }
+  if (run == 1 && (time == COPY_DUE || time == COPY_JOINED || time == COPY_HALVES))
+    {
+      client->copy = copy;
+      client->time = time;
+    }
+  if (has_to_wait)
+    {
+      client->due_at_ms = now_ms () + PAUSE_MS;
+      return true;
+    }
+  if (!send_text (client->fd, client->due.bytes, client->due.size))
+    return false;
+  client->due.size = 0;
+  if (run == 1 && time == COPY_LATE)
+    {
+      client->due = copy;
+      client->due_at_ms = now_ms () + PAUSE_MS;
+    }
+  return !client->closes;
+}
+
+/* Answers the request in client->head. Returns false when the connection ends. */
+static bool
+answer_request (Client *client)
+{
+  char id[ID_SIZE];
+  char mode[32] = "";
+  char framing_name[32] = "";
+  Framing framing = FRAMED_BY_LENGTH;
+  char health[256];
+  unsigned run;
+
+  if (strncmp (client->head, "GET /health", strlen ("GET /health")) == 0)
+    {
+      snprintf (health, sizeof health,
+                "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", instance);
+      return send_text (client->fd, health, strlen (health));
+    }
+  read_field (client->head, "\nAttempt-Id: ", id);
+  sscanf (client->head, "%*s /%*[^/]/%31[^/]/%31[a-z]", mode, framing_name);
+  for (int i = 0; i < 3; i++)
+    if (strcmp (framing_names[i], framing_name) == 0)
+      framing = (Framing)i;
+  requests++;
+  note_id (client, id);
+  run = count_run (id);
+  for (size_t i = 0; i < sizeof modes / sizeof *modes; i++)
+    if (strcmp (modes[i].name, mode) == 0)
+      return modes[i].head != HEAD_WHOLE
+                 ? send_faulty_head (client, modes[i].head, id, run, framing)
+                       && framing != FRAMED_BY_CLOSE
+                 : send_answer (client, modes[i].copy, id, run, framing);
+  return false;
+}
+
+/* Sends what is due and reads what has arrived. Returns false when the connection has ended. */
+static bool
+serve (Client *client)
+{
+  char byte;
+  ssize_t size;
+
+  if (client->due.size > 0)
+    {
+      if (now_ms () < client->due_at_ms)
+        return true;
+      if (!send_text (client->fd, client->due.bytes, client->due.size) || client->closes)
+        return false;
+      client->due.size = 0;
+    }
+  while ((size = recv (client->fd, &byte, 1, MSG_DONTWAIT)) == 1)
+    {
+      if (client->head_size + 1 < sizeof client->head)
+        client->head[client->head_size++] = byte;
+      client->head[client->head_size] = '\0';
+      if (client->head_size < 4 || strcmp (client->head + client->head_size - 4, "\r\n\r\n") != 0)
+        continue;
+      client->head_size = 0;
+      if (!answer_request (client))
+        return false;
+      if (client->due.size > 0)
+        return true;
+    }
+  return size < 0 && errno == EAGAIN;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  char *colon = argc > 2 ? strchr (argv[1], ':') : NULL;
+  int one = 1;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  if (colon == NULL)
+    return 2;
+  instance = argv[2];
+  *colon = '\0';
+  address.sin_port = htons ((uint16_t)atoi (colon + 1));
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (inet_pton (AF_INET, argv[1], &address.sin_addr) != 1
+      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0 || listen (fd, 64) != 0)
+    return 2;
+  signal (SIGTERM, on_term);
+  while (!is_stopped)
+    {
+      struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+      poll (&poll_fd, 1, 1);
+      if ((poll_fd.revents & POLLIN) != 0 && client_count < CLIENTS_MAX)
+        clients[client_count++] = (Client){ .fd = accept (fd, NULL, NULL) };
+      for (nfds_t i = client_count; i-- > 0;)
+        if (!serve (&clients[i]))
+          {
+            close (clients[i].fd);
+            clients[i] = clients[--client_count];
+          }
+    }
+  printf ("{\"requests\":%u,\"repeated_ids\":%u}\n", requests, repeated_ids);
+  return 0;
+}
