An id is never sent twice on one connection

Cause: the id names the call, not the transmission. A second, late copy of the response to the first run is read as the response to the repeat, on the same kept connection; its id is the one that is expected. libcurl selects the connection, and the node did not know what it had carried. Change: libcurl's callback before each send names the connection. The table of connections holds the ids that each has carried (256, then the connection is closed); if the id is among them, or the connection is not known, the send is stopped before the first byte and starts again on a new connection. It holds for other nodes as well as for upstreams, and for calls repeated by a caller through any node, since only the node beside an upstream connects to it. Conclusion: whatever a copy's delay, its id is not the one that is due. Left: heads put together of two answers.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -216,10 +216,9 @@
   trace = ph_fetch_trace (node->fetch, forward->transfer);
   ph_call_id_format (exchange->call_id, id);
   ph_log (&node->ctx, PH_LOG_DEBUG, PH_STEP_RESPONSE, id,
-          "response of %s: status %d, connection %llu, request %u on it%s, %lld us after the send",
+          "response of %s: status %d, connection %llu, request %u on it, %lld us after the send",
           attempt != NULL ? ph_trace_peer (node->world, attempt) : "", status,
           (unsigned long long)trace.connection, trace.request_number,
-          trace.is_id_repeated ? " and not the first with this id" : "",
           (long long)(node->ctx.now - trace.sent_at));
 }
 
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -55,6 +55,7 @@
   uint64_t id_hash;
   int opened_fd; /* socket of the connection that was opened for this transfer, or -1 */
   PhTransferTrace trace;
+  bool needs_new_connection; /* the selected connection may not be used; not sent yet */
   int status;
   bool is_body_collected;
   bool is_pending;        /* in the pending queue */
@@ -121,6 +122,18 @@
   mark_pending (t);
 }
 
+/* Starts a transfer again whose request was not sent, on a new connection. */
+static bool
+restart_transfer (Transfer *t)
+{
+  CURLM *multi = t->fetch->multi;
+
+  t->needs_new_connection = false;
+  curl_multi_remove_handle (multi, t->easy);
+  curl_easy_setopt (t->easy, CURLOPT_FRESH_CONNECT, 1L);
+  return curl_multi_add_handle (multi, t->easy) == CURLM_OK;
+}
+
 /* Ends the transfers that libcurl reports as completed. */
 static void
 process_completed (PhFetch *fetch)
@@ -131,12 +144,13 @@
   while ((message = curl_multi_info_read (fetch->multi, &left)) != NULL)
     {
       Transfer *t = NULL;
+      CURLcode code = message->data.result;
 
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&t);
-      if (t != NULL)
-        end_transfer (t, message->data.result);
+      if (t != NULL && !(t->needs_new_connection && restart_transfer (t)))
+        end_transfer (t, code);
     }
 }
 
@@ -329,36 +343,61 @@
   return close (fd);
 }
 
-/* Records how the request is sent on its connection, which is NULL when it is not known. */
+/* Whether a request may be sent on the kept connection that libcurl has selected, which is NULL
+ * when it is not known. A second copy of the response to an earlier request may still arrive on it:
+ * the id tells such a copy from the response that is due, unless both requests have the same id. */
+static bool
+may_use_connection (const Transfer *t, const PhConnection *connection)
+{
+  return connection != NULL
+         && (t->id_hash == 0 || !ph_connection_has_carried (connection, t->id_hash));
+}
+
+/* Records how the request is sent on its connection, which is NULL when the table of connections is
+ * full. */
 static void
 record_send (Transfer *t, PhConnection *connection)
 {
   t->send_count = 1;
   t->trace.sent_at = t->fetch->node->ctx.now;
-  if (connection == NULL)
-    return;
-  t->trace.is_id_repeated = t->id_hash != 0 && ph_connection_has_carried (connection, t->id_hash);
-  ph_connection_carry (connection, t->id_hash);
-  t->trace.connection = connection->number;
-  t->trace.request_number = connection->request_count;
+  if (connection != NULL)
+    {
+      ph_connection_carry (connection, t->id_hash);
+      t->trace.connection = connection->number;
+      t->trace.request_number = connection->request_count;
+    }
+  if (connection == NULL || ph_connection_is_full (connection))
+    curl_easy_setopt (t->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
-/* Called right before a request is sent on a connection. libcurl sends a request again when a
- * reused connection closes before the first response byte. The upstream may have run the request,
- * so the second send is stopped. */
+/*
+ * Called right before a request is sent on a connection.
+ *
+ * libcurl sends a request again when a reused connection closes before the first
+ * response byte. The upstream may have run the request, so the second send is
+ * stopped. A first send that is stopped is started again on a new connection.
+ */
 static int
 on_prerequest (void *user, char *ip, char *local_ip, int port, int local_port)
 {
   Transfer *t = user;
   PhConnections *connections = &t->fetch->connections;
+  bool is_new = t->opened_fd >= 0;
   PhConnectionName name
       = { .address = ip, .port = (uint16_t)port, .local_port = (uint16_t)local_port };
+  PhConnection *connection;
 
   (void)local_ip;
   if (t->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
-  record_send (t, t->opened_fd >= 0 ? ph_connections_add (connections, &name, t->opened_fd)
-                                    : ph_connections_find (connections, &name));
+  connection = is_new ? ph_connections_add (connections, &name, t->opened_fd)
+                      : ph_connections_find (connections, &name);
+  if (!is_new && !may_use_connection (t, connection))
+    {
+      t->needs_new_connection = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  record_send (t, connection);
   return CURL_PREREQFUNC_OK;
 }
 
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -27,7 +27,6 @@
 {
   uint64_t connection;     /* number of the connection at this node, from 1; 0 if not known */
   uint32_t request_number; /* of the request on the connection, from 1 */
-  bool is_id_repeated;     /* the connection had carried the id of the request before */
   PhTime sent_at;          /* 0 if it was not sent */
 } PhTransferTrace;
 
@@ -89,7 +88,8 @@
  * ph_fetch_start: start a transfer.
  *
  * A request is sent at most once: libcurl would send it again when a reused
- * connection closes, but the second send is stopped and ends the transfer. The
+ * connection closes, but the second send is stopped and ends the transfer. A
+ * connection that has carried a request with the same id is not used. The
  * strings of opts are copied. Whatever its timeout, a transfer without
  * is_body_collected also times out when no byte moves for 60 s. Returns 0 with
  * err set on failure.
