A kept connection on which something has arrived is not used

Callers saw: 502 with an unknown outcome for a request that was sent on a connection after a late copy of an earlier response, or after the upstream had closed it while it was idle. The next request then reads the copy, whose id is not its own, and its outcome is unknown. Change: before a request is sent on a kept connection, poll(); with input, an end or an error the request starts on a new connection. Conclusion: what arrives between two requests belongs to none and costs no caller anything. What arrives after the send is told apart by its id.

--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -1,6 +1,7 @@
 #include "node/fetch.h"
 
 #include <curl/curl.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -343,13 +344,22 @@
   return close (fd);
 }
 
+/* Whether bytes, an end or an error have arrived on an idle connection. */
+static bool
+has_input (const PhConnection *connection)
+{
+  struct pollfd fd = { .fd = connection->fd, .events = POLLIN | POLLRDHUP };
+
+  return poll (&fd, 1, 0) != 0;
+}
+
 /* Whether a request may be sent on the kept connection that libcurl has selected, which is NULL
  * when it is not known. A second copy of the response to an earlier request may still arrive on it:
  * the id tells such a copy from the response that is due, unless both requests have the same id. */
 static bool
 may_use_connection (const Transfer *t, const PhConnection *connection)
 {
-  return connection != NULL
+  return connection != NULL && !has_input (connection)
          && (t->id_hash == 0 || !ph_connection_has_carried (connection, t->id_hash));
 }
 
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -89,7 +89,8 @@
  *
  * A request is sent at most once: libcurl would send it again when a reused
  * connection closes, but the second send is stopped and ends the transfer. A
- * connection that has carried a request with the same id is not used. The
+ * kept connection is not used if it has carried a request with the same id, or if
+ * something has arrived on it since its last response. The
  * strings of opts are copied. Whatever its timeout, a transfer without
  * is_body_collected also times out when no byte moves for 60 s. Returns 0 with
  * err set on failure.
--- a/tests/e2e/copies.sh
+++ b/tests/e2e/copies.sh
@@ -47,6 +47,16 @@
   send_id "$id" "$1" "/read/plain/$3"
   is_answer "$id" 1 200 || { echo "  next: $status $(is_copy && echo copy) $body"; return 1; }
 }
+# Guards against requests that are lost on a connection on which something has arrived since its last
+# response: a late copy, or its end.
+next_is_served () { # ENTRY-NODE MODE FRAMING
+  new_id
+  send_id "$id" "$1" "/read/$2/$3"
+  sleep 0.1
+  new_id
+  send_id "$id" "$1" "/write/plain/$3"
+  is_answer "$id" 1 200 && [ "$status" = 200 ] || { echo "  next: $status $body"; return 1; }
+}
 fails () { # ENTRY-NODE MODE FRAMING: whether no part of the answer passes as a complete success
   new_id
   send_id "$id" "$1" "/read/$2/$3"
@@ -82,6 +92,10 @@
 repeats_get_their_answers|joined|length chunked
 repeats_get_their_answers|halves|length chunked
 repeats_get_their_answers|split|length chunked
+next_is_served|plain|length chunked close
+next_is_served|together|length chunked
+next_is_served|late|length chunked
+next_is_served|late-end|length chunked
 fails|status-cut|length chunked
 fails|field-cut|length chunked
 fails|line-cut|length chunked
--- a/tests/standins/stutter.c
+++ b/tests/standins/stutter.c
@@ -35,6 +35,7 @@
   COPY_NONE,
   COPY_TOGETHER, /* in the same write as the answer */
   COPY_LATE,     /* PAUSE_MS after the answer */
+  COPY_LATE_END, /* the same, and the connection is closed */
   COPY_DUE,      /* when the next request arrives, PAUSE_MS before its answer */
   COPY_JOINED,   /* when the next request arrives, in the same write as its answer */
   COPY_HALVES,   /* when the next request arrives, in two writes; the answer with the second one */
@@ -67,6 +68,7 @@
   { "plain", COPY_NONE, HEAD_WHOLE },
   { "together", COPY_TOGETHER, HEAD_WHOLE },
   { "late", COPY_LATE, HEAD_WHOLE },
+  { "late-end", COPY_LATE_END, HEAD_WHOLE },
   { "due", COPY_DUE, HEAD_WHOLE },
   { "joined", COPY_JOINED, HEAD_WHOLE },
   { "halves", COPY_HALVES, HEAD_WHOLE },
@@ -348,10 +350,12 @@
   if (!send_text (client->fd, client->due.bytes, client->due.size))
     return false;
   client->due.size = 0;
-  if (run == 1 && time == COPY_LATE)
+  if (run == 1 && (time == COPY_LATE || time == COPY_LATE_END))
     {
       client->due = copy;
       client->due_at_ms = now_ms () + PAUSE_MS;
+      client->closes = time == COPY_LATE_END;
+      return true;
     }
   return !client->closes;
 }
