A head that is put together of two messages is rejected

Callers saw: a success (200) with the id, the seal and the body of an answer of the same upstream whose status was 500. Cause: an answer that breaks off within its status line ('HTTP/1.1 200 O') and is followed by another one on the same connection is one head to libcurl 7.88: the status of the first, the fields and the body of the second. The node took the status from libcurl and the fields from the lines. A value that breaks off lets the second status line pass as part of a field. Two lengths passed too. Change: node/head.c builds the head from its lines, status included, and rejects what cannot be one response: a status line inside another line, a line that is no field, two lengths or encodings, a length with an encoding, 101. The transfer fails, its connection is closed, and the caller gets 502 (or another attempt); the log has 'response rejected: REASON' with the VM. Conclusion: status, fields and framing come from one message or from none. A body with a length that breaks off before another answer cannot be told from its own bytes without a digest.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -308,6 +308,14 @@
   PhExchange *exchange = ph_exchange_get (&forward->dispatch->exchanges, forward->exchange);
 
   (void)id;
+  if (result->is_head_rejected)
+    {
+      const PhAttempt *attempt = ph_attempt_get (&node->world->attempts, forward->attempt);
+
+      ph_log (&node->ctx, PH_LOG_WARNING, PH_STEP_RESPONSE,
+              attempt != NULL ? ph_trace_peer (node->world, attempt) : NULL,
+              "response rejected: %s", result->text);
+    }
   if (exchange == NULL || exchange->winning_forward.v != forward->id.v)
     {
       fail_forward (forward, result->is_sent ? PH_RUN_UNKNOWN : PH_RUN_NO,
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -11,15 +11,10 @@
 
 #include "node/buffer.h"
 #include "node/connections.h"
+#include "node/head.h"
 
 #define CONNECT_TIMEOUT_DEFAULT PH_SECOND
 #define CONNECTION_IDLE_DEFAULT (60 * PH_SECOND)
-#define RESPONSE_FIELDS_MAX 128
-#define RESPONSE_FIELDS_BYTES_MAX (32u * 1024)
-
-/* Maximum size of all interim responses, the head and the trailer together. libcurl 7.88 keeps each
- * line of a trailer: an endless one took 2.5 GB in 4 s. */
-#define RESPONSE_LINES_BYTES_MAX (128u * 1024)
 
 /* Time without a byte in either direction after which ph_fetch_abort_if_stalled ends a transfer. */
 #define SHORT_STALL_SECONDS 1L
@@ -44,12 +39,10 @@
   size_t request_body_offset; /* bytes of request_body sent */
   PhTransferFuncs funcs;
   void *user;
-  char *fields;       /* "name\0value\0" pairs of the response */
-  size_t fields_size; /* bytes used of fields */
-  size_t lines_size;  /* bytes of all lines received, see RESPONSE_LINES_BYTES_MAX */
-  uint32_t field_count;
-  PhBuffer body;   /* response bytes that the owner has not read */
-  char *collected; /* owned response body, with is_body_collected */
+  PhHead head;
+  const char *head_error; /* why the head was rejected, or NULL */
+  PhBuffer body;          /* response bytes that the owner has not read */
+  char *collected;        /* owned response body, with is_body_collected */
   size_t collected_size;
   size_t body_limit;
   uint32_t send_count; /* times that the request was sent: 0 or 1 */
@@ -57,10 +50,8 @@
   int opened_fd; /* socket of the connection that was opened for this transfer, or -1 */
   PhTransferTrace trace;
   bool needs_new_connection; /* the selected connection may not be used; not sent yet */
-  int status;
   bool is_body_collected;
   bool is_pending;        /* in the pending queue */
-  bool is_head_complete;  /* status and all fields have been received */
   bool is_head_reported;  /* funcs.head was called */
   bool has_new_data;      /* bytes were received since funcs.data was called */
   bool is_receive_paused; /* the buffer was full */
@@ -106,7 +97,7 @@
   curl_off_t length = -1;
 
   curl_easy_getinfo (t->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-  return t->is_head_complete && !t->is_body_collected && length >= 0
+  return t->head.state == PH_HEAD_COMPLETE && !t->is_body_collected && length >= 0
          && t->body.end == (uint64_t)length;
 }
 
@@ -119,7 +110,9 @@
       = code == CURLE_OK || (code == CURLE_OPERATION_TIMEDOUT && has_whole_response (t));
   t->result.is_sent = t->send_count > 0;
   t->result.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
-  snprintf (t->result.text, sizeof t->result.text, "%s", curl_easy_strerror (code));
+  t->result.is_head_rejected = t->head_error != NULL;
+  snprintf (t->result.text, sizeof t->result.text, "%s",
+            t->head_error != NULL ? t->head_error : curl_easy_strerror (code));
   mark_pending (t);
 }
 
@@ -448,68 +441,19 @@
   return ph_buffer_append (&t->body, bytes, size);
 }
 
-/* Stores a field line. Returns false when the fields exceed their max number or size. */
-static bool
-add_response_field (Transfer *t, const char *line, size_t size)
-{
-  const char *colon = memchr (line, ':', size);
-  size_t name_size;
-  size_t value_size;
-  const char *value;
-
-  if (colon == NULL)
-    return true; /* libcurl has checked the syntax; a line without a colon is ignored */
-  name_size = (size_t)(colon - line);
-  value = colon + 1;
-  value_size = size - name_size - 1;
-  while (value_size > 0 && (*value == ' ' || *value == '\t'))
-    value++, value_size--;
-  if (t->field_count == RESPONSE_FIELDS_MAX
-      || t->fields_size + name_size + value_size + 2 > RESPONSE_FIELDS_BYTES_MAX)
-    return false;
-  if (t->fields == NULL && (t->fields = malloc (RESPONSE_FIELDS_BYTES_MAX)) == NULL)
-    return false;
-  memcpy (t->fields + t->fields_size, line, name_size);
-  t->fields[t->fields_size + name_size] = '\0';
-  t->fields_size += name_size + 1;
-  memcpy (t->fields + t->fields_size, value, value_size);
-  t->fields[t->fields_size + value_size] = '\0';
-  t->fields_size += value_size + 1;
-  t->field_count++;
-  return true;
-}
-
 /* Receives one line of the response head, or of the trailer, from libcurl. */
 static size_t
 on_header (char *line, size_t size, size_t count, void *user)
 {
   Transfer *t = user;
-  size_t total = size * count;
-  size_t length = total;
-  long status = 0;
-
-  while (length > 0 && (line[length - 1] == '\r' || line[length - 1] == '\n'))
-    length--;
-  t->lines_size += total;
-  if (t->lines_size > RESPONSE_LINES_BYTES_MAX)
+  bool was_complete = t->head.state == PH_HEAD_COMPLETE;
+
+  t->head_error = ph_head_add_line (&t->head, line, size * count);
+  if (t->head_error != NULL)
     return 0;
-  if (t->is_head_complete)
-    return total; /* trailer field */
-  if (length >= 5 && memcmp (line, "HTTP/", 5) == 0)
-    {
-      t->fields_size = 0;
-      t->field_count = 0;
-      return total;
-    }
-  if (length > 0)
-    return add_response_field (t, line, length) ? total : 0;
-  curl_easy_getinfo (t->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (status < 200)
-    return total; /* interim response (1xx) */
-  t->status = (int)status;
-  t->is_head_complete = true;
-  mark_pending (t);
-  return total;
+  if (t->head.state == PH_HEAD_COMPLETE && !was_complete)
+    mark_pending (t);
+  return size * count;
 }
 
 static CURL *
@@ -701,7 +645,7 @@
   release_handle (fetch, t->easy);
   curl_slist_free_all (t->request_fields);
   free (t->request_body);
-  free (t->fields);
+  ph_head_clear (&t->head);
   free (t->collected);
   ph_buffer_clear (&t->body);
   transfer_remove (&fetch->transfers, id);
@@ -711,29 +655,17 @@
 ph_fetch_field_at (
     PhFetch *fetch, PhTransferId id, uint32_t index, const char **name, const char **value)
 {
-  Transfer *t = transfer_get (&fetch->transfers, id);
-  const char *text;
+  const Transfer *t = transfer_get (&fetch->transfers, id);
 
-  if (t == NULL || index >= t->field_count)
-    return false;
-  text = t->fields;
-  for (uint32_t i = 0; i < index * 2; i++)
-    text += strlen (text) + 1;
-  *name = text;
-  *value = text + strlen (text) + 1;
-  return true;
+  return t != NULL && ph_head_field_at (&t->head, index, name, value);
 }
 
 const char *
 ph_fetch_field (PhFetch *fetch, PhTransferId id, const char *name)
 {
-  const char *found;
-  const char *value;
+  const Transfer *t = transfer_get (&fetch->transfers, id);
 
-  for (uint32_t i = 0; ph_fetch_field_at (fetch, id, i, &found, &value); i++)
-    if (strcasecmp (found, name) == 0)
-      return value;
-  return NULL;
+  return t != NULL ? ph_head_field (&t->head, name, NULL) : NULL;
 }
 
 PhTransferTrace
@@ -803,11 +735,11 @@
   if (t == NULL)
     return;
   t->is_pending = false;
-  if (t->is_head_complete && !t->is_head_reported)
+  if (t->head.state == PH_HEAD_COMPLETE && !t->is_head_reported)
     {
       t->is_head_reported = true;
       if (t->funcs.head != NULL)
-        t->funcs.head (t->user, id, t->status);
+        t->funcs.head (t->user, id, t->head.status);
     }
   t = transfer_get (&fetch->transfers, id);
   if (t != NULL && t->has_new_data)
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -16,10 +16,11 @@
 
 typedef struct
 {
-  bool is_ok;      /* the complete response was received */
-  bool is_sent;    /* the request may have reached the peer, at least in part */
-  bool is_timeout; /* a timeout ended the transfer */
-  char text[128];  /* libcurl's description of the error */
+  bool is_ok;            /* the complete response was received */
+  bool is_sent;          /* the request may have reached the peer, at least in part */
+  bool is_timeout;       /* a timeout ended the transfer */
+  bool is_head_rejected; /* the head cannot be that of one response, see ph_head_add_line */
+  char text[128];        /* why the head was rejected, or libcurl's description of the error */
 } PhTransferResult;
 
 /* How the request of a transfer was sent. */
