--- a/source/node/dialect.c
+++ b/source/node/dialect.c
@@ -70,7 +70,8 @@
 
   (void)user;
   head->matches_request
-      = is_call_id_matching (exchange, ph_fetch_field (node->fetch, transfer, PH_FIELD_CALL));
+      = ph_fetch_field_count (node->fetch, transfer, PH_FIELD_CALL) <= 1
+        && is_call_id_matching (exchange, ph_fetch_field (node->fetch, transfer, PH_FIELD_CALL));
   head->is_run = run_text == NULL || !ph_run_parse (run_text, &run) || run != PH_RUN_NO
                  || status != MHD_HTTP_SERVICE_UNAVAILABLE;
   head->refusal_reason = PH_REASON_SHED;
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -154,6 +154,7 @@
   uint8_t id[PH_CALL_ID_SIZE];
 
   result->matches_request = id_text != NULL && ph_call_id_parse (id_text, id)
+                            && ph_fetch_field_count (fetch, forward->transfer, PH_FIELD_CALL) == 1
                             && memcmp (id, exchange->call_id, sizeof id) == 0;
   result->is_rejected = run_text != NULL && reason_text != NULL
                         && ph_run_parse (run_text, &result->run)
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -668,6 +668,17 @@
   return t != NULL ? ph_head_field (&t->head, name, NULL) : NULL;
 }
 
+uint32_t
+ph_fetch_field_count (PhFetch *fetch, PhTransferId id, const char *name)
+{
+  const Transfer *t = transfer_get (&fetch->transfers, id);
+  uint32_t count = 0;
+
+  if (t != NULL)
+    ph_head_field (&t->head, name, &count);
+  return count;
+}
+
 PhTransferTrace
 ph_fetch_trace (PhFetch *fetch, PhTransferId id)
 {
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -115,6 +115,9 @@
  * Valid until the transfer is dropped. */
 const char *ph_fetch_field (PhFetch *fetch, PhTransferId id, const char *name);
 
+/* ph_fetch_field_count: number of response fields with this name; 0 for a stale handle. */
+uint32_t ph_fetch_field_count (PhFetch *fetch, PhTransferId id, const char *name);
+
 /* ph_fetch_field_at: name and value of a response field by its index in order of arrival.
  * Returns false past the last one. */
 bool ph_fetch_field_at (
