The connection of a response that cannot be assigned is not used again

Cause: a refusal (Not-Executed, 421) without an id was taken for this request's, on any connection. After a response with the id of another request a complete transfer left its connection in use, one response behind. Change: after a response without its id, or with another one, the connection is retired: no further request is sent on it. A health check has no id: the connection of one that is refused is retired as well. So a refusal without an id can only be that of the first request after responses that all had theirs. An upstream that never repeats ids pays with a connection a call.

--- a/source/node/connections.c
+++ b/source/node/connections.c
@@ -75,6 +75,7 @@
   id = ph_connection_add (&connections->rows, &connection);
   if (id.v == 0)
     return NULL;
+  connection->id = id;
   connection->name_hash = hash;
   connection->fd = fd;
   connection->number = ++connections->opened_count;
--- a/source/node/connections.h
+++ b/source/node/connections.h
@@ -28,11 +28,13 @@
 
 typedef struct
 {
+  PhConnectionId id;
   uint64_t name_hash;
   uint64_t number; /* counts the connections of this node, from 1 */
   int fd;
   uint32_t request_count;
   uint32_t id_count;
+  bool is_retired;                     /* no further request may be sent on it */
   uint64_t ids[PH_CONNECTION_IDS_MAX]; /* hashes of the ids of its requests */
 } PhConnection;
 
--- a/source/node/dialect.c
+++ b/source/node/dialect.c
@@ -66,12 +66,13 @@
                PhResponseHead *head)
 {
   const char *run_text = ph_fetch_field (node->fetch, transfer, PH_FIELD_RUN);
+  const char *id_text = ph_fetch_field (node->fetch, transfer, PH_FIELD_CALL);
   PhRun run;
 
   (void)user;
-  head->matches_request
-      = ph_fetch_field_count (node->fetch, transfer, PH_FIELD_CALL) <= 1
-        && is_call_id_matching (exchange, ph_fetch_field (node->fetch, transfer, PH_FIELD_CALL));
+  head->is_identified = id_text != NULL;
+  head->matches_request = ph_fetch_field_count (node->fetch, transfer, PH_FIELD_CALL) <= 1
+                          && is_call_id_matching (exchange, id_text);
   head->is_run = run_text == NULL || !ph_run_parse (run_text, &run) || run != PH_RUN_NO
                  || status != MHD_HTTP_SERVICE_UNAVAILABLE;
   head->refusal_reason = PH_REASON_SHED;
--- a/source/node/dialect.h
+++ b/source/node/dialect.h
@@ -16,7 +16,9 @@
 typedef struct
 {
   bool matches_request; /* false: it belongs to another request */
-  bool is_run; /* whether the request was executed; false: it was refused and not executed */
+  bool is_identified; /* it has the id of its request. The connection of one without is not kept: a
+                         second copy of it could not be told from the response to another request */
+  bool is_run;        /* whether the request was executed; false: it was refused and not executed */
   PhReason refusal_reason;   /* reason of a refusal, when is_run is false */
   PhReason reject_reason;    /* why an executed request's response must not be forwarded, or
                                 PH_REASON_NONE */
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -122,6 +122,7 @@
 typedef struct
 {
   bool matches_request; /* false: it belongs to another request */
+  bool is_identified;   /* see PhResponseHead */
   bool is_rejected;     /* a refusal, or a response that must not be forwarded */
   PhRun run;
   PhReason reason;
@@ -156,6 +157,7 @@
   result->matches_request = id_text != NULL && ph_call_id_parse (id_text, id)
                             && ph_fetch_field_count (fetch, forward->transfer, PH_FIELD_CALL) == 1
                             && memcmp (id, exchange->call_id, sizeof id) == 0;
+  result->is_identified = id_text != NULL;
   result->is_rejected = run_text != NULL && reason_text != NULL
                         && ph_run_parse (run_text, &result->run)
                         && ph_reason_parse (reason_text, &result->reason);
@@ -176,6 +178,7 @@
   if (upstream_head.slowdown_percent != 0)
     ph_admission_report_slowdown (&node->ctx, node->world, upstream_head.slowdown_percent);
   result->matches_request = upstream_head.matches_request;
+  result->is_identified = upstream_head.is_identified;
   result->is_rejected = !upstream_head.is_run || upstream_head.reject_reason != PH_REASON_NONE;
   result->run = upstream_head.is_run ? PH_RUN_YES : PH_RUN_NO;
   result->reason
@@ -247,6 +250,9 @@
     classify_upstream_response (forward, exchange, status, &result);
   else
     classify_peer_response (forward, exchange, &result);
+  /* The response to this request may still arrive on the connection of one to another request. */
+  if (!result.matches_request || !result.is_identified)
+    ph_fetch_retire_connection (node->fetch, forward->transfer);
   if (!result.matches_request)
     {
       ph_log (&node->ctx, PH_LOG_ERROR, PH_STEP_RESPONSE,
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -47,7 +47,8 @@
   size_t body_limit;
   uint32_t send_count; /* times that the request was sent: 0 or 1 */
   uint64_t id_hash;
-  int opened_fd; /* socket of the connection that was opened for this transfer, or -1 */
+  int opened_fd;             /* socket of the connection that was opened for this transfer, or -1 */
+  PhConnectionId connection; /* that the request was sent on */
   PhTransferTrace trace;
   bool needs_new_connection; /* the selected connection may not be used; not sent yet */
   bool is_body_collected;
@@ -352,7 +353,7 @@
 static bool
 may_use_connection (const Transfer *t, const PhConnection *connection)
 {
-  return connection != NULL && !has_input (connection)
+  return connection != NULL && !connection->is_retired && !has_input (connection)
          && (t->id_hash == 0 || !ph_connection_has_carried (connection, t->id_hash));
 }
 
@@ -366,6 +367,7 @@
   if (connection != NULL)
     {
       ph_connection_carry (connection, t->id_hash);
+      t->connection = connection->id;
       t->trace.connection = connection->number;
       t->trace.request_number = connection->request_count;
     }
@@ -679,6 +681,17 @@
   return count;
 }
 
+void
+ph_fetch_retire_connection (PhFetch *fetch, PhTransferId id)
+{
+  const Transfer *t = transfer_get (&fetch->transfers, id);
+  PhConnection *connection
+      = t != NULL ? ph_connection_get (&fetch->connections.rows, t->connection) : NULL;
+
+  if (connection != NULL)
+    connection->is_retired = true;
+}
+
 PhTransferTrace
 ph_fetch_trace (PhFetch *fetch, PhTransferId id)
 {
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -123,6 +123,9 @@
 bool ph_fetch_field_at (
     PhFetch *fetch, PhTransferId id, uint32_t index, const char **name, const char **value);
 
+/* ph_fetch_retire_connection: let no further request be sent on the connection of a transfer. */
+void ph_fetch_retire_connection (PhFetch *fetch, PhTransferId id);
+
 /* ph_fetch_trace: how the request was sent; all zero for a stale handle. */
 PhTransferTrace ph_fetch_trace (PhFetch *fetch, PhTransferId id);
 
--- a/tests/e2e/copies.sh
+++ b/tests/e2e/copies.sh
@@ -57,10 +57,21 @@
   send_id "$id" "$1" "/write/plain/$3"
   is_answer "$id" 1 200 && [ "$status" = 200 ] || { echo "  next: $status $body"; return 1; }
 }
+# Guards against a refusal of an earlier request that passes for one of a request that is run: the caller
+# would repeat it.
+next_is_not_refused () { # ENTRY-NODE MODE FRAMING
+  new_id
+  send_id "$id" "$1" "/read/$2/$3"
+  [ "$status" = 503 ] || { echo "  refusal: $status $body"; return 1; }
+  new_id
+  send_id "$id" 1 "/write/plain/length"
+  is_answer "$id" 1 200 || { echo "  next: $status $(is_copy && echo copy) $body"; return 1; }
+  wait_until 5 succeeds "$1" plain length
+}
 fails () { # ENTRY-NODE MODE FRAMING: whether no part of the answer passes as a complete success
   new_id
   send_id "$id" "$1" "/read/$2/$3"
-  [ "${status:0:1}" != 2 ] || [ "$curl_status" -ne 0 ] || { echo "  $status $body"; return 1; }
+  [ "$status" = 502 ] || { [ "$status" != 503 ] && [ "$curl_status" -ne 0 ]; } || { echo "  $status $body"; return 1; }
 }
 succeeds () { # ENTRY-NODE MODE FRAMING: whether the answer arrives whole, with no field of another response
   new_id
@@ -96,6 +107,9 @@
 next_is_served|together|length chunked
 next_is_served|late|length chunked
 next_is_served|late-end|length chunked
+next_is_not_refused|refusal|length chunked
+next_is_not_refused|refusal-no-id|length chunked
+next_is_not_refused|misdirected|length chunked
 fails|status-cut|length chunked
 fails|field-cut|length chunked
 fails|line-cut|length chunked
--- a/tests/standins/stutter.c
+++ b/tests/standins/stutter.c
@@ -42,6 +42,15 @@
   COPY_SPLIT     /* half of it with the answer, half when the next request arrives */
 } CopyTime;
 
+/* Answers to the first run of an id. Each has its second copy when the next request arrives. */
+typedef enum
+{
+  ANSWER_SUCCESS,
+  ANSWER_REFUSAL,       /* 503 with Not-Executed and the id */
+  ANSWER_REFUSAL_NO_ID, /* 503 with Not-Executed, without an id */
+  ANSWER_MISDIRECTED    /* 421, without an id */
+} AnswerKind;
+
 /* A head that does not come from one answer. */
 typedef enum
 {
@@ -64,26 +73,30 @@
   const char *name;
   CopyTime copy;
   HeadFault head;
+  AnswerKind kind;
 } modes[] = {
-  { "plain", COPY_NONE, HEAD_WHOLE },
-  { "together", COPY_TOGETHER, HEAD_WHOLE },
-  { "late", COPY_LATE, HEAD_WHOLE },
-  { "late-end", COPY_LATE_END, HEAD_WHOLE },
-  { "due", COPY_DUE, HEAD_WHOLE },
-  { "joined", COPY_JOINED, HEAD_WHOLE },
-  { "halves", COPY_HALVES, HEAD_WHOLE },
-  { "split", COPY_SPLIT, HEAD_WHOLE },
-  { "status-cut", COPY_NONE, HEAD_STATUS_CUT },
-  { "field-cut", COPY_NONE, HEAD_FIELD_CUT },
-  { "line-cut", COPY_NONE, HEAD_LINE_CUT },
-  { "two-ids", COPY_NONE, HEAD_TWO_IDS },
-  { "two-seals", COPY_NONE, HEAD_TWO_SEALS },
-  { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS },
-  { "interim", COPY_NONE, HEAD_INTERIM },
-  { "status-end", COPY_NONE, HEAD_STATUS_END },
-  { "field-end", COPY_NONE, HEAD_FIELD_END },
-  { "line-end", COPY_NONE, HEAD_LINE_END },
-  { "body-reset", COPY_NONE, BODY_RESET },
+  { "plain", COPY_NONE, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "together", COPY_TOGETHER, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "late", COPY_LATE, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "late-end", COPY_LATE_END, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "due", COPY_DUE, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "joined", COPY_JOINED, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "halves", COPY_HALVES, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "split", COPY_SPLIT, HEAD_WHOLE, ANSWER_SUCCESS },
+  { "status-cut", COPY_NONE, HEAD_STATUS_CUT, ANSWER_SUCCESS },
+  { "field-cut", COPY_NONE, HEAD_FIELD_CUT, ANSWER_SUCCESS },
+  { "line-cut", COPY_NONE, HEAD_LINE_CUT, ANSWER_SUCCESS },
+  { "two-ids", COPY_NONE, HEAD_TWO_IDS, ANSWER_SUCCESS },
+  { "two-seals", COPY_NONE, HEAD_TWO_SEALS, ANSWER_SUCCESS },
+  { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS, ANSWER_SUCCESS },
+  { "interim", COPY_NONE, HEAD_INTERIM, ANSWER_SUCCESS },
+  { "status-end", COPY_NONE, HEAD_STATUS_END, ANSWER_SUCCESS },
+  { "field-end", COPY_NONE, HEAD_FIELD_END, ANSWER_SUCCESS },
+  { "line-end", COPY_NONE, HEAD_LINE_END, ANSWER_SUCCESS },
+  { "body-reset", COPY_NONE, BODY_RESET, ANSWER_SUCCESS },
+  { "refusal", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL },
+  { "refusal-no-id", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL_NO_ID },
+  { "misdirected", COPY_DUE, HEAD_WHOLE, ANSWER_MISDIRECTED },
 };
 
 typedef enum
@@ -153,27 +166,46 @@
   return size == 0 || send (fd, bytes, size, MSG_NOSIGNAL) == (ssize_t)size;
 }
 
-/* Writes a complete answer. extra holds further field lines. */
+typedef struct
+{
+  const char *id;
+  unsigned run;
+  int status;
+  AnswerKind kind;
+  Framing framing;
+  const char *extra; /* further field lines, or NULL */
+} Answer;
+
+/* Writes a complete answer. */
 static void
-format_answer (
-    Text *text, const char *id, unsigned run, int status, Framing framing, const char *extra)
+format_answer (Text *text, const Answer *answer)
 {
   char body[256];
+  char id_line[ID_SIZE + 16] = "";
   char framing_line[64] = "";
   int body_size = snprintf (body, sizeof body, "answer of %s to %s, run %u, status %d\n", instance,
-                            id, run, status);
+                            answer->id, answer->run, answer->status);
   int size;
 
-  if (framing == FRAMED_BY_LENGTH)
+  if (answer->kind == ANSWER_SUCCESS || answer->kind == ANSWER_REFUSAL)
+    snprintf (id_line, sizeof id_line, "Attempt-Id: %s\r\n", answer->id);
+  if (answer->framing == FRAMED_BY_LENGTH)
     snprintf (framing_line, sizeof framing_line, "Content-Length: %d\r\n", body_size);
-  else if (framing == FRAMED_BY_CHUNKS)
+  else if (answer->framing == FRAMED_BY_CHUNKS)
     snprintf (framing_line, sizeof framing_line, "Transfer-Encoding: chunked\r\n");
-  size = snprintf (text->bytes, sizeof text->bytes,
-                   "HTTP/1.1 %d %s\r\n%sAttempt-Id: %s\r\nResponse-Seal: %s.%u.%d\r\n%s", status,
-                   status == 200 ? "OK" : "Internal Server Error", extra, id, instance, run, status,
-                   framing_line);
+  size = snprintf (text->bytes, sizeof text->bytes, "HTTP/1.1 %d %s\r\n%s%s", answer->status,
+                   answer->status == 200 ? "OK" : "Failed",
+                   answer->extra != NULL ? answer->extra : "", id_line);
   text->size = (size_t)size;
-  if (framing == FRAMED_BY_CHUNKS)
+  if (answer->kind == ANSWER_SUCCESS)
+    size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size,
+                     "Response-Seal: %s.%u.%d\r\n%s", instance, answer->run, answer->status,
+                     framing_line);
+  else
+    size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size, "%s%s",
+                     answer->kind == ANSWER_MISDIRECTED ? "" : "Not-Executed: 1\r\n", framing_line);
+  text->size += (size_t)size;
+  if (answer->framing == FRAMED_BY_CHUNKS)
     size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size,
                      "\r\n%x\r\n%s\r\n0\r\n\r\n", (unsigned)body_size, body);
   else
@@ -200,14 +232,14 @@
     [HEAD_TWO_IDS] = "Attempt-Id: 0123456789abcdef\r\n",
     [HEAD_TWO_SEALS] = "Response-Seal: i-other.1.200\r\n",
     [HEAD_TWO_LENGTHS] = "Content-Length: 7\r\n",
-    [BODY_RESET] = "",
+    [BODY_RESET] = NULL,
   };
   Text answer = { .size = 0 };
   Text other = { .size = 0 };
   size_t size = 0;
 
-  format_answer (&answer, id, run, 200, framing, extra[head] != NULL ? extra[head] : "");
-  format_answer (&other, id, run, 500, framing, "");
+  format_answer (&answer, &(Answer){ id, run, 200, ANSWER_SUCCESS, framing, extra[head] });
+  format_answer (&other, &(Answer){ id, run, 500, ANSWER_SUCCESS, framing, NULL });
   switch (head)
     {
     case HEAD_STATUS_CUT:
@@ -313,22 +345,25 @@
 /* Sends the answer, and sets the copy that its mode asks for. Returns false when the connection
  * ends. */
 static bool
-send_answer (Client *client, CopyTime time, const char *id, unsigned run, Framing framing)
+send_answer (Client *client, CopyTime time, const Answer *what)
 {
+  Answer what_copied = *what;
   Text answer = { .size = 0 };
   Text copy = { .size = 0 };
+  unsigned run = what->run;
   size_t half;
   bool has_to_wait;
 
-  format_answer (&answer, id, run, run == 1 ? 200 : 500, framing, "");
-  format_answer (&copy, id, run, run == 1 ? 200 : 500, framing, "X-Copy: 1\r\n");
+  what_copied.extra = "X-Copy: 1\r\n";
+  format_answer (&answer, what);
+  format_answer (&copy, &what_copied);
   half = copy.size / 2;
   client->due.size = 0;
   has_to_wait = send_pending_copy (client);
   client->copy.size = 0;
   client->time = COPY_NONE;
   append (&client->due, answer.bytes, answer.size);
-  client->closes = framing == FRAMED_BY_CLOSE;
+  client->closes = what->framing == FRAMED_BY_CLOSE;
   if (run == 1 && time == COPY_TOGETHER)
     append (&client->due, copy.bytes, copy.size);
   if (run == 1 && time == COPY_SPLIT)
@@ -369,7 +404,6 @@
   char framing_name[32] = "";
   Framing framing = FRAMED_BY_LENGTH;
   char health[256];
-  unsigned run;
 
   if (strncmp (client->head, "GET /health", strlen ("GET /health")) == 0)
     {
@@ -384,13 +418,20 @@
       framing = (Framing)i;
   requests++;
   note_id (client, id);
-  run = count_run (id);
   for (size_t i = 0; i < sizeof modes / sizeof *modes; i++)
     if (strcmp (modes[i].name, mode) == 0)
-      return modes[i].head != HEAD_WHOLE
-                 ? send_faulty_head (client, modes[i].head, id, run, framing)
-                       && framing != FRAMED_BY_CLOSE
-                 : send_answer (client, modes[i].copy, id, run, framing);
+      {
+        Answer answer = { id, 1, 200, modes[i].kind, framing, NULL };
+
+        if (answer.kind != ANSWER_SUCCESS)
+          answer.status = answer.kind == ANSWER_MISDIRECTED ? 421 : 503;
+        else if ((answer.run = count_run (id)) > 1)
+          answer.status = 500;
+        return modes[i].head != HEAD_WHOLE
+                   ? send_faulty_head (client, modes[i].head, id, answer.run, framing)
+                         && framing != FRAMED_BY_CLOSE
+                   : send_answer (client, modes[i].copy, &answer);
+      }
   return false;
 }
 
