A response that ends within its head is not complete

Cause: libcurl 7.88 ends such a transfer as CURLE_OK, with status 200 and no body, unless a length above 0 or an encoding came before. A forwarded call failed by the order of the code only; a health check of the product's own protocol counted as healthy (status 0 is below 500), and the calls to the store went on with status 0. Change: a transfer is complete only when its head is; the error says that the response ended within its head. Conclusion: every user of the HTTP client gets the same answer.

--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -106,14 +106,17 @@
 end_transfer (Transfer *t, CURLcode code)
 {
   t->is_ended = true;
-  /* An upstream that has responded may never read the rest of the request. */
-  t->result.is_ok
-      = code == CURLE_OK || (code == CURLE_OPERATION_TIMEDOUT && has_whole_response (t));
+  /* For libcurl 7.88 a response is complete that ends before its length and the end of its head. An
+   * upstream that has responded may never read the rest of the request. */
+  t->result.is_ok = (code == CURLE_OK && t->head.state == PH_HEAD_COMPLETE)
+                    || (code == CURLE_OPERATION_TIMEDOUT && has_whole_response (t));
   t->result.is_sent = t->send_count > 0;
   t->result.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   t->result.is_head_rejected = t->head_error != NULL;
   snprintf (t->result.text, sizeof t->result.text, "%s",
-            t->head_error != NULL ? t->head_error : curl_easy_strerror (code));
+            t->head_error != NULL                  ? t->head_error
+            : code == CURLE_OK && !t->result.is_ok ? "the response ended within its head"
+                                                   : curl_easy_strerror (code));
   mark_pending (t);
 }
 
--- /dev/null
+++ b/tests/test_fetch.c
@@ -0,0 +1,208 @@
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "node/fetch.h"
+#include "test.h"
+
+/* The HTTP client, over real sockets with a server that sends given bytes and closes. Guards
+ * against a response that breaks off and counts as complete: health checks, reads and writes of the
+ * store have no other sign that it did (libcurl 7.88 ends a transfer without an error when a head
+ * breaks off before its length). */
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define WAIT_S 2.0
+
+typedef struct
+{
+  const char *name;
+  const char *bytes;
+  bool is_reset; /* the connection is reset, not closed */
+  bool is_ok;
+} Case;
+
+static const Case cases[] = {
+  { "a response with a length", OK "Content-Length: 2\r\n\r\nab", false, true },
+  { "a response in chunks", OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false,
+    true },
+  { "a response that ends with its connection", OK "\r\nab", false, true },
+  { "an error", "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", false, true },
+  { "nothing", "", false, false },
+  { "cut within the status line", "HTTP/1.1 20", false, false },
+  { "cut after the status", "HTTP/1.1 200", false, false },
+  { "cut after the status line", OK, false, false },
+  { "cut within a field", OK "Conte", false, false },
+  { "cut after a field", OK "A: b\r\n", false, false },
+  { "cut within the empty line", OK "A: b\r\n\r", false, false },
+  { "cut after the length", OK "Content-Length: 2\r\n", false, false },
+  { "cut after a length of zero", OK "Content-Length: 0\r\n", false, false },
+  { "cut after the encoding", OK "Transfer-Encoding: chunked\r\n", false, false },
+  { "cut after an interim response", "HTTP/1.1 100 Continue\r\n\r\n", false, false },
+  { "cut within a body with a length", OK "Content-Length: 2\r\n\r\na", false, false },
+  { "cut within a chunk", OK "Transfer-Encoding: chunked\r\n\r\n2\r\na", false, false },
+  { "cut before the last chunk", OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false, false },
+  { "reset within a body without a length", OK "\r\na", true, false },
+  { "reset within a body with a length", OK "Content-Length: 2\r\n\r\na", true, false },
+};
+
+/* One server and one transfer. */
+typedef struct
+{
+  PhNode node;
+  const Case *test_case;
+  int listen_fd;
+  uint16_t port;
+  ev_io accept_watcher;
+  ev_timer reset_timer; /* resets the connection once its bytes have been read */
+  int reset_fd;
+  bool is_done;
+  PhTransferResult result;
+} Bed;
+
+static void
+on_reset (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  Bed *bed = watcher->data;
+
+  (void)loop;
+  (void)events;
+  setsockopt (bed->reset_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (bed->reset_fd);
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Bed *bed = watcher->data;
+  const char *bytes = bed->test_case->bytes;
+  char request[4096];
+  int fd = accept (bed->listen_fd, NULL, NULL);
+
+  (void)events;
+  CU_ASSERT_FATAL (fd >= 0);
+  /* A request that was not read would turn the close into a reset. */
+  CU_ASSERT (recv (fd, request, sizeof request, 0) > 0);
+  CU_ASSERT_EQUAL (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL), (ssize_t)strlen (bytes));
+  if (!bed->test_case->is_reset)
+    {
+      close (fd);
+      return;
+    }
+  bed->reset_fd = fd;
+  ev_timer_set (&bed->reset_timer, 0.05, 0);
+  ev_timer_start (loop, &bed->reset_timer);
+}
+
+static void
+on_done (void *user, PhTransferId id, const PhTransferResult *result)
+{
+  Bed *bed = user;
+
+  (void)id;
+  bed->is_done = true;
+  bed->result = *result;
+  ev_break (bed->node.loop, EVBREAK_ALL);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  Bed *bed = watcher->data;
+
+  (void)loop;
+  (void)events;
+  ph_node_update_clock (&bed->node);
+  ph_fetch_system (bed->node.fetch);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)watcher;
+  (void)events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+start_server (Bed *bed)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+
+  bed->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (bind (bed->listen_fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (bed->listen_fd, 4), 0);
+  getsockname (bed->listen_fd, (struct sockaddr *)&address, &size);
+  bed->port = ntohs (address.sin_port);
+  ev_io_init (&bed->accept_watcher, on_accept, bed->listen_fd, EV_READ);
+  bed->accept_watcher.data = bed;
+  ev_io_start (bed->node.loop, &bed->accept_watcher);
+  ev_init (&bed->reset_timer, on_reset);
+  bed->reset_timer.data = bed;
+}
+
+static void
+run_transfer (Bed *bed)
+{
+  char url[64];
+  const PhTransferOptions opts = { .method = "GET",
+                                   .url = url,
+                                   .body_size = PH_BODY_NONE,
+                                   .is_body_collected = true,
+                                   .body_limit = 1024,
+                                   .funcs = { .done = on_done },
+                                   .user = bed };
+  ev_prepare tick;
+  ev_timer timer;
+  PhTransferId id;
+  PhError err;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/", bed->port);
+  id = ph_fetch_start (bed->node.fetch, &opts, &err);
+  CU_ASSERT_FATAL (id.v != 0);
+  ev_prepare_init (&tick, on_tick);
+  tick.data = bed;
+  ev_prepare_start (bed->node.loop, &tick);
+  ev_timer_init (&timer, on_timeout, WAIT_S, 0);
+  ev_timer_start (bed->node.loop, &timer);
+  ev_run (bed->node.loop, 0);
+  ev_timer_stop (bed->node.loop, &timer);
+  ev_prepare_stop (bed->node.loop, &tick);
+  ph_fetch_drop_transfer (bed->node.fetch, id);
+}
+
+static void
+test_responses (void)
+{
+  for (size_t i = 0; i < PH_ARRAY_SIZE (cases); i++)
+    {
+      Bed bed = { .test_case = &cases[i] };
+      PhError err;
+
+      bed.node.loop = ev_loop_new (EVFLAG_AUTO);
+      ph_node_update_clock (&bed.node);
+      bed.node.fetch = ph_fetch_new (&bed.node, 4, &err);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bed.node.fetch);
+      start_server (&bed);
+      run_transfer (&bed);
+      if (!bed.is_done || bed.result.is_ok != cases[i].is_ok)
+        {
+          fprintf (stderr, "fetch: %s: %s, %s\n", cases[i].name,
+                   bed.result.is_ok ? "complete" : "failed", bed.result.text);
+          CU_FAIL ("wrong result");
+        }
+      ev_io_stop (bed.node.loop, &bed.accept_watcher);
+      ph_fetch_drop (bed.node.fetch);
+      ev_loop_destroy (bed.node.loop);
+      close (bed.listen_fd);
+    }
+}
+
+static const PhTest tests[] = {
+  { "responses that break off", test_responses },
+};
+PH_TEST_SUITE (fetch, tests)
