--- a/include/pollenhitch/counter.h
+++ b/include/pollenhitch/counter.h
@@ -26,6 +26,9 @@
   PH_COUNT_CONFIG_REJECTED,
   PH_COUNT_MEMBER_CHANGES,
   PH_COUNT_MISMATCHED_RESPONSES,
+  PH_COUNT_REJECTED_HEADS,       /* responses whose head cannot be that of one response */
+  PH_COUNT_REPEATED_IDS,         /* kept connections not used: they had carried the request's id */
+  PH_COUNT_UNUSABLE_CONNECTIONS, /* kept connections not used for another reason */
   PH_COUNTER_COUNT
 } PhCounterId;
 
--- a/source/core/counter.c
+++ b/source/core/counter.c
@@ -29,6 +29,14 @@
   = { "pollenhitch_member_changes_total", "Changes of state of members." },
   [PH_COUNT_MISMATCHED_RESPONSES]
   = { "pollenhitch_mismatched_responses_total", "Responses that carried the id of another call." },
+  [PH_COUNT_REJECTED_HEADS]
+  = { "pollenhitch_rejected_heads_total", "Responses whose head cannot be that of one response." },
+  [PH_COUNT_REPEATED_IDS]
+  = { "pollenhitch_repeated_ids_total",
+      "Requests whose id the selected connection had carried; they got a new connection." },
+  [PH_COUNT_UNUSABLE_CONNECTIONS]
+  = { "pollenhitch_unusable_connections_total",
+      "Kept connections that had input or were retired; the request got a new connection." },
 };
 
 static const PhCounterInfo histogram_infos[PH_HISTOGRAM_COUNT] = {
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -12,6 +12,7 @@
 #include "node/buffer.h"
 #include "node/connections.h"
 #include "node/head.h"
+#include "pollenhitch/counter.h"
 
 #define CONNECT_TIMEOUT_DEFAULT PH_SECOND
 #define CONNECTION_IDLE_DEFAULT (60 * PH_SECOND)
@@ -356,8 +357,13 @@
 static bool
 may_use_connection (const Transfer *t, const PhConnection *connection)
 {
-  return connection != NULL && !connection->is_retired && !has_input (connection)
-         && (t->id_hash == 0 || !ph_connection_has_carried (connection, t->id_hash));
+  bool is_usable = connection != NULL && !connection->is_retired && !has_input (connection);
+  bool is_repeated
+      = is_usable && t->id_hash != 0 && ph_connection_has_carried (connection, t->id_hash);
+
+  ph_count (&t->fetch->node->ctx, PH_COUNT_UNUSABLE_CONNECTIONS, !is_usable);
+  ph_count (&t->fetch->node->ctx, PH_COUNT_REPEATED_IDS, is_repeated);
+  return is_usable && !is_repeated;
 }
 
 /* Records how the request is sent on its connection, which is NULL when the table of connections is
@@ -455,7 +461,10 @@
 
   t->head_error = ph_head_add_line (&t->head, line, size * count);
   if (t->head_error != NULL)
-    return 0;
+    {
+      ph_count (&t->fetch->node->ctx, PH_COUNT_REJECTED_HEADS, 1);
+      return 0;
+    }
   if (t->head.state == PH_HEAD_COMPLETE && !was_complete)
     mark_pending (t);
   return size * count;
--- a/tests/e2e/copies.sh
+++ b/tests/e2e/copies.sh
@@ -122,6 +122,10 @@
 fails|line-end|length chunked close
 fails|body-reset|length chunked close
 CASES
+metric () { curl -s -m 5 "http://$(address 1):7381/metrics" | awk -v name="pollenhitch_$1" '$1 == name { print $2 }'; }
+for name in repeated_ids_total unusable_connections_total rejected_heads_total mismatched_responses_total; do
+  check "node 1 counts $name: $(metric $name)" [ "$(metric $name)" -gt 0 ]
+done
 stop_process stutter
 result=$(cat "$work_dir/stutter.log")
 echo "  upstream: $result"
