A call does not return to an upstream whose announcement was renewed

Cause: a call knew the upstreams that it had tried by the handles of their rows. When the announcement of an upstream expires, because its node stood still for some seconds, and is renewed, its row is replaced, and the same process looks untried. Change: a call keeps epoch and member of what it has tried; a row with both is the same upstream. Result: build/unit-tests choice: 'an upstream whose announcement was renewed' fails on the sources before (2 of 5 cases), passes now.

--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -112,6 +112,10 @@
   uint8_t open_attempts;
   uint8_t maybe_run_count; /* ended attempts whose request may have been run */
   PhUpstreamId tried_upstreams[PH_ATTEMPTS_MAX];
+  /* Of tried_upstreams, whose rows are replaced when an announcement expires and is renewed. An
+   * epoch of 0 is not compared. The member is 0 for the local upstream. */
+  uint64_t tried_epochs[PH_ATTEMPTS_MAX];
+  PhMemberId tried_members[PH_ATTEMPTS_MAX];
   PhUpstreamId pinned_upstream; /* of a call from another node: the local upstream */
   PhTime opened_at;
   PhTime deadline;
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -628,7 +628,9 @@
   attempt->queued_at = ctx->now;
   upstream->outstanding++;
   upstream->sent_since_report++;
-  call->tried_upstreams[call->tried_count++] = upstream_id;
+  call->tried_upstreams[call->tried_count] = upstream_id;
+  call->tried_epochs[call->tried_count] = upstream->epoch;
+  call->tried_members[call->tried_count++] = upstream->member;
   call->open_attempts++;
   PH_INVARIANT (call->open_attempts <= OPEN_ATTEMPTS_MAX);
   call->state = PH_CALL_TRYING;
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -306,15 +306,42 @@
                upstream->latency_us > latency ? upstream->latency_us : latency);
 }
 
+/* Whether an upstream is the one of an attempt of the call, also if its row was replaced since. */
 static bool
-is_tried (const PhCall *call, PhUpstreamId id)
+is_tried_in (const PhCall *call, uint32_t attempt, const PhUpstream *upstream, PhUpstreamId id)
+{
+  PhMemberId member = call->tried_members[attempt];
+
+  return call->tried_upstreams[attempt].v == id.v
+         || (call->tried_epochs[attempt] != 0 && call->tried_epochs[attempt] == upstream->epoch
+             && member.v == upstream->member.v && (member.v != 0 || upstream->is_local));
+}
+
+static bool
+is_tried (const PhCall *call, const PhUpstream *upstream, PhUpstreamId id)
 {
   for (uint32_t i = 0; i < call->tried_count; i++)
-    if (call->tried_upstreams[i].v == id.v)
+    if (is_tried_in (call, i, upstream, id))
       return true;
   return false;
 }
 
+/* The upstream of an attempt of the call, or NULL if it has left the service. */
+static const PhUpstream *
+find_tried (const PhWorld *world, const PhService *service, const PhCall *call, uint32_t attempt)
+{
+  const PhUpstream *tried = ph_upstream_get (&world->upstreams, call->tried_upstreams[attempt]);
+
+  for (uint32_t i = 0; tried == NULL && i < service->upstream_count; i++)
+    {
+      const PhUpstream *upstream = ph_upstream_get (&world->upstreams, service->upstreams[i]);
+
+      if (is_tried_in (call, attempt, upstream, service->upstreams[i]))
+        tried = upstream;
+    }
+  return tried;
+}
+
 bool
 ph_choice_is_eligible (const PhContext *ctx,
                        const PhWorld *world,
@@ -323,7 +350,7 @@
                        const PhCall *call)
 {
   return compute_preference (ctx, world, upstream) < PH_PREFERENCE_SUSPENDED
-         && !is_tried (call, id);
+         && !is_tried (call, upstream, id);
 }
 
 /* Weight of a latency estimate, from 1 when it was just updated down to 0. */
@@ -432,6 +459,7 @@
 
 static void
 skip_tried_upstreams (const PhWorld *world,
+                      const PhService *service,
                       const PhCall *call,
                       uint32_t group,
                       SkippedPositions *skips)
@@ -439,7 +467,7 @@
   skips->count = 0;
   for (uint32_t i = 0; i < call->tried_count; i++)
     {
-      const PhUpstream *tried = ph_upstream_get (&world->upstreams, call->tried_upstreams[i]);
+      const PhUpstream *tried = find_tried (world, service, call, i);
 
       if (tried != NULL && tried->candidate_group == group)
         add_skipped_position (skips, tried->position_in_service);
@@ -487,7 +515,7 @@
 
   for (;;)
     {
-      skip_tried_upstreams (world, call, group, &skips);
+      skip_tried_upstreams (world, service, call, group, &skips);
       upstream = ph_upstream_get (&world->upstreams, other);
       if (upstream != NULL && upstream->candidate_group == group)
         add_skipped_position (&skips, upstream->position_in_service);
--- a/tests/test_choice.c
+++ b/tests/test_choice.c
@@ -355,6 +355,59 @@
   fixture_stop (&f);
 }
 
+/* Guards against a call that returns to an upstream that it has tried, after the announcement of
+ * that upstream expired and was renewed: an id then came twice on one connection (issue 33). */
+static void
+test_renewed_upstream (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t epoch;  /* of the renewed announcement; 9 before */
+    uint32_t member; /* of the renewed announcement; 3 before, 0 for the local upstream */
+    bool is_local;
+    bool may_be_chosen;
+  } renewals[] = {
+    { "the same process", 9, 3, false, false },
+    { "another process on the same VM", 10, 3, false, true },
+    { "the same epoch on another VM", 9, 4, false, true },
+    { "the same local process", 9, 0, true, false },
+    { "another local process", 10, 0, true, true },
+  };
+
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (renewals); i++)
+    {
+      Fixture f;
+      PhUpstreamOptions opts = { .service = FIXTURE_SERVICE,
+                                 .version = "1",
+                                 .state = PH_UPSTREAM_READY,
+                                 .member = { renewals[i].is_local ? 0 : 3 },
+                                 .is_local = renewals[i].is_local,
+                                 .epoch = 9,
+                                 .slots = 4 };
+      PhCall call = { .tried_count = 1 };
+      PhUpstreamId id;
+      bool is_chosen = false;
+
+      fixture_start (&f, i + 1, 8, NULL);
+      opts.data_centre = f.data_centres[0];
+      id = ph_upstream_upsert (&f.ctx, f.world, (PhUpstreamId){ 0 }, &opts, NULL);
+      call.tried_upstreams[0] = id;
+      call.tried_epochs[0] = 9;
+      call.tried_members[0] = opts.member;
+      ph_upstream_drop (&f.ctx, f.world, id);
+      opts.epoch = renewals[i].epoch;
+      opts.member.v = renewals[i].member;
+      id = ph_upstream_upsert (&f.ctx, f.world, (PhUpstreamId){ 0 }, &opts, NULL);
+      fixture_upsert (&f, (PhUpstreamId){ 0 }, 0, PH_UPSTREAM_READY, "1");
+      for (int j = 0; j < 100; j++)
+        is_chosen = choose (&f, &call).v == id.v || is_chosen;
+      if (is_chosen != renewals[i].may_be_chosen)
+        CU_FAIL (renewals[i].name);
+      fixture_stop (&f);
+    }
+}
+
 static const PhTest tests[] = {
   { "states of upstreams", test_states },
   { "same data centre unless another one is better", test_locality },
@@ -362,5 +415,6 @@
   { "share of the version of a move", test_move_share },
   { "calls that failed at the version of an open move", test_move_retries },
   { "share of a slow upstream", test_slow_upstream },
+  { "an upstream whose announcement was renewed", test_renewed_upstream },
 };
 PH_TEST_SUITE (choice, tests)
