An interim response that says how its body is framed is rejected

What callers could see: a body cut after the length of an interim response, as a complete success, when the response itself has no length. Cause: libcurl 7.88 keeps the length or chunked coding of a 1xx response for the final one; node/head forgets them with the other fields of the 1xx response. RFC 9110 (8.6) and RFC 9112 (6.1) forbid both there. Change: node/head rejects such a head. Conclusion: only an upstream that breaks the rule loses its response.

--- a/source/node/head.c
+++ b/source/node/head.c
@@ -83,6 +83,9 @@
         return "two lengths";
       head->has_length = true;
     }
+  /* libcurl 7.88 takes the framing of an interim response for that of the final one. */
+  if ((head->has_length || head->has_encoding) && head->status < STATUS_FINAL_MIN)
+    return "an interim response with a length or transfer encoding";
   return head->has_length && head->has_encoding ? "a length and a transfer encoding" : NULL;
 }
 
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -13,6 +13,7 @@
  * breaks off before its length). */
 
 #define OK "HTTP/1.1 200 OK\r\n"
+#define INTERIM "HTTP/1.1 103 Early Hints\r\n"
 #define WAIT_S 2.0
 
 typedef struct
@@ -45,6 +46,10 @@
   { "cut before the last chunk", OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false, false },
   { "reset within a body without a length", OK "\r\na", true, false },
   { "reset within a body with a length", OK "Content-Length: 2\r\n\r\na", true, false },
+  { "a length in an interim response", INTERIM "Content-Length: 1\r\n\r\n" OK "\r\nab", false,
+    false },
+  { "an encoding in an interim response",
+    INTERIM "Transfer-Encoding: chunked\r\n\r\n" OK "\r\n1\r\na\r\n0\r\n\r\n", false, false },
 };
 
 /* One server and one transfer. */
