A Content-Length that is no number is rejected

What callers could see: a body that ends before or after the stated length, as a complete success. Cause: libcurl 7.88 reads the digits at the beginning of the value ("+1", "1, 2", "1k" are 1) and ignores a number beyond 63 bits, which leaves the end of the connection as the end of the body. Change: node/head accepts digits up to 63 bits only. Spaces behind a value are no part of it (RFC 9112, 5.1); two equal lengths, one followed by a space, are accepted. Conclusion: libcurl and node/head agree on the length of each accepted head.

--- a/source/node/head.c
+++ b/source/node/head.c
@@ -69,6 +69,7 @@
 check_framing (PhHead *head, const char *name, const char *value)
 {
   const char *length;
+  uint64_t number;
 
   if (strcasecmp (name, "Transfer-Encoding") == 0)
     {
@@ -78,6 +79,9 @@
     }
   else if (strcasecmp (name, "Content-Length") == 0)
     {
+      /* libcurl 7.88 takes the digits at the beginning, and ignores a number that is too large. */
+      if (!ph_number_parse (value, INT64_MAX, &number))
+        return "a length that is no number";
       length = ph_head_field (head, name, NULL);
       if (length != NULL && strcmp (length, value) != 0)
         return "two lengths";
@@ -104,6 +108,8 @@
     return "a line that is no field";
   while (value_size > 0 && (*value == ' ' || *value == '\t'))
     value++, value_size--;
+  while (value_size > 0 && (value[value_size - 1] == ' ' || value[value_size - 1] == '\t'))
+    value_size--;
   if (head->field_count == FIELDS_MAX
       || head->fields_size + name_size + value_size + 2 > FIELDS_BYTES_MAX)
     return "too many fields";
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -50,6 +50,12 @@
     false },
   { "an encoding in an interim response",
     INTERIM "Transfer-Encoding: chunked\r\n\r\n" OK "\r\n1\r\na\r\n0\r\n\r\n", false, false },
+  { "a length beyond 64 bits", OK "Content-Length: 18446744073709551617\r\n\r\na", false, false },
+  { "a length beyond 63 bits", OK "Content-Length: 9223372036854775808\r\n\r\na", false, false },
+  { "a length with a sign", OK "Content-Length: +1\r\n\r\na", false, false },
+  { "a list of lengths", OK "Content-Length: 1, 2\r\n\r\na", false, false },
+  { "a length with a unit", OK "Content-Length: 1k\r\n\r\na", false, false },
+  { "a length that is followed by a space", OK "Content-Length: 1 \r\n\r\na", false, true },
 };
 
 /* One server and one transfer. */
