A transfer encoding other than chunked is rejected

What callers could see: a body of another encoding that broke off, or whose end libcurl finds elsewhere than RFC 9112 (6.3) does, as a complete success. Cause: libcurl 7.88 reads chunks whatever the order of the encodings, and accepts a gzip stream without a byte. No node asks for an encoding (no field TE). Change: node/head accepts chunked alone. Tests: the row of head with the encodings gzip and chunked in two fields is rejected at the first one now, with its text; a row with chunked twice keeps the check of two. Conclusion: a chunked body has one framing for libcurl and the node.

--- a/source/node/head.c
+++ b/source/node/head.c
@@ -75,6 +75,9 @@
     {
       if (head->has_encoding)
         return "two transfer encodings";
+      /* libcurl 7.88 reads chunks whatever the order of the encodings, and decodes gzip. */
+      if (strcasecmp (value, "chunked") != 0)
+        return "a transfer encoding other than chunked";
       head->has_encoding = true;
     }
   else if (strcasecmp (name, "Content-Length") == 0)
