A trailer that says how a body is framed is rejected

What callers could see: a body in chunks that broke off, as a complete success. Cause: a chunk size of several digits ("0001a") that breaks off behind a zero, and is followed by another message, is the last chunk to libcurl 7.88: it skips the status line as an extension and takes the fields as a trailer. Change: node/head rejects Content-Length and Transfer-Encoding in a trailer, which RFC 9110 (6.5.1) forbids; a message has one of them unless its connection ends it. Conclusion: a copy without framing fields behind such a cut would still pass.

--- a/source/node/head.c
+++ b/source/node/head.c
@@ -49,6 +49,18 @@
   return false;
 }
 
+/* Whether a line is a field that says where a body ends. */
+static bool
+is_framing_line (const char *line, size_t size)
+{
+  static const char *const names[] = { "Content-Length:", "Transfer-Encoding:" };
+
+  for (size_t i = 0; i < sizeof names / sizeof *names; i++)
+    if (size >= strlen (names[i]) && strncasecmp (line, names[i], strlen (names[i])) == 0)
+      return true;
+  return false;
+}
+
 static const char *
 add_status_line (PhHead *head, const char *line, size_t size)
 {
@@ -137,8 +149,10 @@
   head->lines_size += size;
   if (head->lines_size > LINES_BYTES_MAX)
     return "too many bytes in heads and trailer";
+  /* A chunk size that breaks off behind a zero is the last chunk to libcurl 7.88: the fields of the
+   * next message are its trailer. */
   if (head->state == PH_HEAD_COMPLETE)
-    return NULL;
+    return is_framing_line (line, size) ? "a length or transfer encoding in a trailer" : NULL;
   while (size > 0 && (line[size - 1] == '\r' || line[size - 1] == '\n'))
     size--;
   if (has_inner_status (line, size))
