The operators' commands take no response that ends within its head

Callers saw: 'no such object' (exit 4) for an object that exists or not, when the head of a 404 broke off after its status line; a conflict with 'there is none' for an object at a revision; 'not a JSON object' (exit 1) in place of a repeated read. Cause: libcurl 7.88 ends such a transfer without an error, with the status; the commands took it, and read one field of the head. Change: the store's client and that of the nodes' pages build the head with node/head.c, as the nodes do: a response counts when its head is complete and can be that of one message. No second sign is read from libcurl. The head of a CONNECT is left out.

--- a/source/client/nodes.c
+++ b/source/client/nodes.c
@@ -121,6 +121,16 @@
   return count;
 }
 
+/* A CURLOPT_HEADERFUNCTION; a head that is rejected ends the transfer. */
+static size_t
+add_head_line (char *data, size_t unit, size_t count, void *user)
+{
+  PhNodeRow *row = user;
+
+  (void)unit;
+  return ph_head_add_line (&row->head, data, count) == NULL ? count : 0;
+}
+
 static void
 start_request (PhNodes *nodes, PhNodeRow *row, int64_t timeout_ms)
 {
@@ -141,6 +151,8 @@
   curl_easy_setopt (row->curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
   curl_easy_setopt (row->curl, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (row->curl, CURLOPT_WRITEDATA, row);
+  curl_easy_setopt (row->curl, CURLOPT_HEADERFUNCTION, add_head_line);
+  curl_easy_setopt (row->curl, CURLOPT_HEADERDATA, row);
   curl_easy_setopt (row->curl, CURLOPT_PRIVATE, row);
   curl_multi_add_handle (nodes->multi, row->curl);
 }
@@ -168,13 +180,13 @@
 static void
 read_response (PhNodeRow *row, CURLcode result)
 {
-  long code = 0;
-
-  curl_easy_getinfo (row->curl, CURLINFO_RESPONSE_CODE, &code);
   if (result != CURLE_OK)
     snprintf (row->failure, sizeof row->failure, "%.90s", curl_easy_strerror (result));
-  else if (code != 200)
-    snprintf (row->failure, sizeof row->failure, "status %ld", code);
+  /* libcurl 7.88 reports no error for a response that ends within its head. */
+  else if (row->head.state != PH_HEAD_COMPLETE)
+    snprintf (row->failure, sizeof row->failure, "the response ended within its head");
+  else if (row->head.status != 200)
+    snprintf (row->failure, sizeof row->failure, "status %d", row->head.status);
   else
     ph_node_row_parse (row, row->body != NULL ? row->body : "", row->body_size);
 }
@@ -189,6 +201,7 @@
   curl_multi_remove_handle (nodes->multi, curl);
   curl_easy_cleanup (curl);
   row->curl = NULL;
+  ph_head_clear (&row->head);
   free (row->body);
   row->body = NULL;
   row->body_size = 0;
--- a/source/client/nodes.h
+++ b/source/client/nodes.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "node/head.h"
 #include "pollenhitch/base.h"
 #include "pollenhitch/settings.h"
 #include "pollenhitch/table.h"
@@ -22,6 +23,7 @@
   uint64_t config_revision;   /* "config_revision" of the last valid page, 0 when it has none */
   char failure[100];          /* why the last request failed; valid while page is NULL */
   CURL *curl;                 /* request in progress, NULL when there is none */
+  PhHead head;                /* of the response */
   char *body;                 /* response body received so far, owned */
   size_t body_size;           /* bytes in body */
 } PhNodeRow;
--- a/source/client/store.c
+++ b/source/client/store.c
@@ -6,8 +6,10 @@
 #include <string.h>
 #include <time.h>
 
+#include "node/head.h"
 #include "pollenhitch/command.h"
 #include "pollenhitch/config.h"
+#include "pollenhitch/fields.h"
 
 #define BACKOFF_INITIAL_MS 100
 #define BACKOFF_MAX_MS 5000
@@ -26,8 +28,9 @@
 /* Result of one request. */
 typedef struct
 {
-  long status;                   /* HTTP status, or STATUS_NONE */
+  int status;                    /* HTTP status, or STATUS_NONE */
   bool was_sent;                 /* whether the store may have received the request */
+  PhHead head;                   /* of the response */
   uint64_t revision;             /* field "Revision" of the response, 0 when it has none */
   char *body;                    /* ends with a null byte, owned; NULL when empty */
   size_t size;                   /* bytes in body, without the null byte */
@@ -37,6 +40,7 @@
 static void
 clear_response (Response *response)
 {
+  ph_head_clear (&response->head);
   free (response->body);
   *response = (Response){ 0 };
 }
@@ -61,18 +65,41 @@
   return count;
 }
 
-/* A CURLOPT_HEADERFUNCTION. */
+/* A CURLOPT_HEADERFUNCTION. libcurl passes complete lines, each with its line end. */
 static size_t
-read_revision_field (char *data, size_t unit, size_t count, void *user)
+add_head_line (char *data, size_t unit, size_t count, void *user)
 {
-  static const char name[] = "Revision:";
   Response *response = user;
+  const char *error = ph_head_add_line (&response->head, data, count);
 
   (void)unit;
-  /* libcurl passes complete lines, each with its line end. */
-  if (count > sizeof name && strncasecmp (data, name, sizeof name - 1) == 0)
-    response->revision = strtoull (data + sizeof name - 1, NULL, 10);
-  return count;
+  if (error == NULL)
+    return count;
+  snprintf (response->failure, sizeof response->failure, "%s", error);
+  return 0;
+}
+
+/* Sets status and revision of a response that is complete, otherwise the reason why it is not. */
+static void
+finish_response (Response *response, CURLcode result)
+{
+  const char *revision = ph_head_field (&response->head, "Revision", NULL);
+
+  if (result != CURLE_OK)
+    {
+      if (response->failure[0] == '\0')
+        snprintf (response->failure, sizeof response->failure, "%s", curl_easy_strerror (result));
+      return;
+    }
+  /* libcurl 7.88 reports no error for a response that ends within its head. */
+  if (response->head.state != PH_HEAD_COMPLETE)
+    {
+      snprintf (response->failure, sizeof response->failure, "the response ended within its head");
+      return;
+    }
+  response->status = response->head.status;
+  if (revision == NULL || !ph_number_parse (revision, INT64_MAX, &response->revision))
+    response->revision = 0;
 }
 
 bool
@@ -172,8 +199,10 @@
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, store->headers);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, response);
-  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, read_revision_field);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, add_head_line);
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, response);
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (curl, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
   curl_easy_setopt (curl, CURLOPT_ERRORBUFFER, response->failure);
   /* On a reused connection that closes before the response, libcurl repeats the request by itself.
    * If the store had applied the first copy of a write, the second would fail its condition and be
@@ -188,10 +217,7 @@
   result = curl_easy_perform (curl);
   curl_easy_getinfo (curl, CURLINFO_REQUEST_SIZE, &sent);
   response->was_sent = sent > 0;
-  if (result == CURLE_OK)
-    curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &response->status);
-  else if (response->failure[0] == '\0')
-    snprintf (response->failure, sizeof response->failure, "%s", curl_easy_strerror (result));
+  finish_response (response, result);
 }
 
 /* Whether the status tells if the store processed the request; a 5xx status does not, and there is
@@ -209,7 +235,7 @@
   if (response->status == STATUS_NONE)
     snprintf (text, size, "%.90s", response->failure);
   else
-    snprintf (text, size, "status %ld", response->status);
+    snprintf (text, size, "status %d", response->status);
   return text;
 }
 
@@ -447,7 +473,7 @@
   if (is_conclusive (&write->response))
     {
       ph_error_set (write->err, PH_ERROR_IO, PH_STEP_STORE_WRITE, NULL,
-                    "%.120s: the store refuses the write with status %ld", write->path,
+                    "%.120s: the store refuses the write with status %d", write->path,
                     write->response.status);
       return WRITE_FAILED;
     }
