--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -472,7 +472,13 @@
     }
 }
 
-/* Guards against calls that are encoded wrongly, so that the store does something else. */
+#define ODD_NAME "a b&c?d#e%f\xc3\xa9"
+#define ODD_NAME_ENCODED "a%20b%26c%3Fd%23e%25f%C3%A9"
+
+static const PhMove odd_move = { .spec = { .to_version = "v2" } };
+
+/* Guards against calls that are encoded wrongly, so that the store does something else. Also
+ * against one odd name of another writer, last on a page, after which no further page is read. */
 static const struct
 {
   PhStoreCall call;
@@ -502,6 +508,18 @@
   { { .action = PH_STORE_REPLACE, .path = "/contacts/z", .text = "{}", .revision = 3 },
     "PUT",
     "/objects/contacts/z" },
+  { { .action = PH_STORE_LIST, .path = "/config/", .after_path = "/config/" ODD_NAME },
+    "GET",
+    "/objects/config?after=" ODD_NAME_ENCODED },
+  { { .action = PH_STORE_GET, .path = "/contacts/" ODD_NAME },
+    "GET",
+    "/objects/contacts/" ODD_NAME_ENCODED },
+  { { .action = PH_STORE_REPLACE, .path = "/contacts/" ODD_NAME, .text = "{}", .revision = 3 },
+    "PUT",
+    "/objects/contacts/" ODD_NAME_ENCODED },
+  { { .action = PH_STORE_REPORT, .path = "/rollouts/" ODD_NAME, .move = &odd_move, .revision = 3 },
+    "PUT",
+    "/objects/rollouts/" ODD_NAME_ENCODED "/status" },
 };
 
 static void
