An object over 1 MiB is left out and named

Operators' report: another writer's odd entry stopped the machines that read the list. Cause: a node that reads the store kept an object of any size. A message between nodes takes texts of up to 1 MiB: encoding the sync that holds the object failed each time, so that the other nodes got none of the objects sent with it. Change: such a revision is left out, with a warning that names its path; the last valid one stays in force. Conclusion: later revisions and the other objects are followed.

--- a/include/pollenhitch/config.h
+++ b/include/pollenhitch/config.h
@@ -157,9 +157,9 @@
  * text is copied; NULL means that the object is deleted. Returns true when the
  * revision is higher than that of the row, also if it is invalid; the last valid
  * revision then remains in force, and err says why. Returns false when the
- * revision is not higher, or with err set when a table or memory is full or the
- * path is too long. err may be NULL. It is not changed in the other cases: set
- * err->code to PH_ERROR_NONE before the call to tell them apart.
+ * revision is not higher, or with err set when a table or memory is full, the
+ * path is too long or the text is over PH_OBJECT_TEXT_MAX. err may be NULL. It is not changed in
+ * the other cases: set err->code to PH_ERROR_NONE before the call to tell them apart.
  */
 bool ph_config_apply (PhContext *ctx,
                       PhWorld *world,
--- a/source/core/config.c
+++ b/source/core/config.c
@@ -6,6 +6,7 @@
 
 #include "pollenhitch/gossip.h"
 #include "pollenhitch/invariant.h"
+#include "pollenhitch/object.h"
 #include "pollenhitch/trace.h"
 #include "pollenhitch/world.h"
 
@@ -267,6 +268,22 @@
   return NULL;
 }
 
+/* Leaves out a revision that fits in no message between nodes. Returns false. */
+static bool
+reject_too_large (PhContext *ctx, const char *path, uint64_t revision, size_t size, PhError *err)
+{
+  PhError invalid = { 0 };
+
+  ph_error_set (&invalid, PH_ERROR_INVALID, PH_STEP_CONFIG, NULL,
+                "%s: revision %llu is left out: %zu bytes are not allowed; allowed: at most %u",
+                path, (unsigned long long)revision, size, PH_OBJECT_TEXT_MAX);
+  ph_count (ctx, PH_COUNT_CONFIG_REJECTED, 1);
+  ph_log_error (ctx, PH_LOG_WARNING, &invalid);
+  if (err != NULL)
+    *err = invalid;
+  return false;
+}
+
 bool
 ph_config_apply (PhContext *ctx,
                  PhWorld *world,
@@ -276,12 +293,16 @@
                  size_t size,
                  PhError *err)
 {
-  PhObjectId id = intern_object (world, path, err);
-  PhObjectRow *row = ph_object_get (&world->objects, id);
+  PhObjectId id;
+  PhObjectRow *row;
   const PhConfigList *list;
   PhObject object;
   PhError invalid = { 0 };
 
+  if (text != NULL && size > PH_OBJECT_TEXT_MAX)
+    return reject_too_large (ctx, path, revision, size, err);
+  id = intern_object (world, path, err);
+  row = ph_object_get (&world->objects, id);
   if (row == NULL || revision <= row->revision)
     return false;
   /* A list that the store made at the same or a higher revision did not contain this object, so it
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -185,8 +185,38 @@
   ph_world_drop (&ctx, world);
 }
 
+/* Guards against an object that fits in no message between nodes, so that the nodes that do not
+ * read the store themselves would get neither it nor the objects that are sent with it. */
+static void
+test_too_large (void)
+{
+  const size_t sizes[] = { PH_OBJECT_TEXT_MAX + 1, 3 * PH_OBJECT_TEXT_MAX };
+  const PhObjectRow *row;
+  PhContext ctx = { .now = PH_SECOND };
+  PhWorld *world = make_world (&ctx);
+  static char text[3 * PH_OBJECT_TEXT_MAX];
+
+  memset (text, ' ', sizeof text);
+  memcpy (text, SERVICE ("9"), sizeof SERVICE ("9") - 1);
+  ph_config_apply (&ctx, world, SERVICE_A, 1, SERVICE ("7"), strlen (SERVICE ("7")), NULL);
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (sizes); i++)
+    {
+      PhError err = { 0 };
+
+      ph_config_apply (&ctx, world, SERVICE_A, 2 + i, text, sizes[i], &err);
+      row = ph_config_find (world, SERVICE_A);
+      CU_ASSERT_TRUE (row->text_size <= PH_OBJECT_TEXT_MAX);
+      CU_ASSERT_EQUAL (row->object.revision, 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (err.text, SERVICE_A));
+    }
+  ph_config_apply (&ctx, world, SERVICE_A, 4, SERVICE ("8"), strlen (SERVICE ("8")), NULL);
+  CU_ASSERT_EQUAL (ph_config_find (world, SERVICE_A)->object.revision, 4);
+  ph_world_drop (&ctx, world);
+}
+
 static const PhTest tests[] = {
   { "the configuration does not depend on the order of its objects", test_order },
   { "a valid revision clears the rejection of an invalid one", test_rejection_cleared },
+  { "an object over the maximum size is left out", test_too_large },
 };
 PH_TEST_SUITE (config, tests)
