--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -324,6 +324,37 @@
     }
 }
 
+/* Guards against a rate whose time between two calls overflows: the time of the next call would be
+ * in the past, and the node would not wait for it. */
+static const struct
+{
+  const char *text;
+  double calls_per_s; /* 0: not limited */
+} cold_rate_cases[] = {
+  { "19", 19 },    { "0.5", 0.5 }, { "0", 0 },     { "-3", 0 },
+  { "1e-300", 0 }, { "1e-19", 0 }, { "1e300", 0 }, { "1e7", 0 },
+  { "\"19\"", 0 }, { "null", 0 },  { "[19]", 0 },  { "9007199254740993", 0 },
+};
+
+static void
+test_cold_rates (void)
+{
+  for (size_t i = 0; i < PH_ARRAY_SIZE (cold_rate_cases); i++)
+    {
+      PhObject object = { .path = "/config/main" };
+      char text[256];
+      int size = snprintf (text, sizeof text,
+                           "{\"spec\":{\"routes\":{},\"services\":{\"s\":{\"coldPerS\":%s}}}}",
+                           cold_rate_cases[i].text);
+      PhError err;
+
+      CU_ASSERT_TRUE_FATAL (platform_decode (&settings, text, (size_t)size, &object, &err));
+      if (object.spec.routes->services[0].rules.cold_calls_per_s != cold_rate_cases[i].calls_per_s)
+        CU_FAIL (cold_rate_cases[i].text);
+      ph_route_set_drop (object.spec.routes);
+    }
+}
+
 /* Objects of a decoded response: their number, and the last one. */
 typedef struct
 {
@@ -552,6 +583,7 @@
   { "refusals get the right status", test_refusals },
   { "invalid heartbeats are rejected", test_heartbeats },
   { "invalid objects are rejected", test_objects },
+  { "rates of cold upstreams are in range", test_cold_rates },
   { "responses of the store are decoded", test_responses },
   { "calls to the store are encoded", test_calls },
 };
