Tests of which connections are used again

Change: rows for sockets that are used again, a table of names, and a table of transfers to a server that keeps its connections. Conclusion: no fault of the node; the tests now show when one comes in.

--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -63,6 +63,12 @@
     1,
     false,
     false },
+  { "the socket is used again after a close, and closed",
+    { { OPEN, 1, 10, 0 }, { CLOSE, 0, 10, 0 }, { OPEN, 2, 10, 0 }, { CLOSE, 0, 10, 0 } },
+    4,
+    2,
+    false,
+    false },
   { "another connection was closed",
     { { OPEN, 1, 10, 0 }, { OPEN, 2, 11, 0 }, { CARRY, 1, 0, 7 }, { CLOSE, 0, 11, 0 } },
     4,
@@ -71,6 +77,21 @@
     true },
 };
 
+typedef struct
+{
+  const char *name;
+  PhConnectionName other; /* than 127.0.0.1, port 80, local port 1 */
+  bool is_same;
+} NameCase;
+
+static const NameCase name_cases[] = {
+  { "the same name", { "127.0.0.1", 80, 1 }, true },
+  { "another address", { "127.0.0.2", 80, 1 }, false },
+  { "another port", { "127.0.0.1", 81, 1 }, false },
+  { "another local port", { "127.0.0.1", 80, 2 }, false },
+  { "the ports swapped", { "127.0.0.1", 1, 80 }, false },
+};
+
 static PhConnectionName
 name_of (uint16_t local_port)
 {
@@ -120,6 +141,29 @@
     }
 }
 
+/* Guards against connections to different peers that are taken for one: the system uses a local
+ * port again for another peer. */
+static void
+test_names (void)
+{
+  for (size_t i = 0; i < PH_ARRAY_SIZE (name_cases); i++)
+    {
+      const NameCase *c = &name_cases[i];
+      PhConnectionName name = name_of (1);
+      PhConnections connections;
+      PhError err;
+
+      CU_ASSERT_TRUE_FATAL (ph_connections_init (&connections, 4, &err));
+      CU_ASSERT_PTR_NOT_NULL (ph_connections_add (&connections, &name, 10));
+      if ((ph_connections_find (&connections, &c->other) != NULL) != c->is_same)
+        {
+          fprintf (stderr, "connections: %s\n", c->name);
+          CU_FAIL ("wrong connection");
+        }
+      ph_connections_clear (&connections);
+    }
+}
+
 /* Guards against ids that are forgotten while their connection is in use. */
 static void
 test_full (void)
@@ -146,6 +190,7 @@
 
 static const PhTest tests[] = {
   { "steps", test_steps },
+  { "names", test_names },
   { "full", test_full },
 };
 PH_TEST_SUITE (connections, tests)
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -7,14 +7,16 @@
 #include "node/fetch.h"
 #include "test.h"
 
-/* The HTTP client, over real sockets with a server that sends given bytes and closes. Guards
- * against a response that breaks off and counts as complete: health checks, reads and writes of the
- * store have no other sign that it did (libcurl 7.88 ends a transfer without an error when a head
- * breaks off before its length). */
+/* The HTTP client, over real sockets: with a server that sends given bytes and closes, and with one
+ * that keeps its connections. Guards against a connection that carries an id twice, and against a
+ * response that breaks off and counts as complete: health checks, reads and writes of the store
+ * have no other sign that it did (libcurl 7.88 ends a transfer without an error when a head breaks
+ * off before its length). */
 
 #define OK "HTTP/1.1 200 OK\r\n"
 #define INTERIM "HTTP/1.1 103 Early Hints\r\n"
 #define WAIT_S 2.0
+#define KEPT_MAX 4
 
 typedef struct
 {
@@ -78,8 +80,14 @@
   ev_io accept_watcher;
   ev_timer reset_timer; /* resets the connection once its bytes have been read */
   int reset_fd;
+  ev_io request_watcher; /* of the connection that was opened last, with kept connections */
+  int kept_fds[KEPT_MAX];
+  uint32_t kept_count;
+  uint64_t id_hash; /* of the next transfer */
+  bool retires;     /* the connection of the next transfer */
   bool is_done;
   PhTransferResult result;
+  PhTransferTrace trace;
 } Bed;
 
 static void
@@ -175,6 +183,7 @@
                                    .body_size = PH_BODY_NONE,
                                    .is_body_collected = true,
                                    .body_limit = 1024,
+                                   .id_hash = bed->id_hash,
                                    .funcs = { .done = on_done },
                                    .user = bed };
   ev_prepare tick;
@@ -193,6 +202,9 @@
   ev_run (bed->node.loop, 0);
   ev_timer_stop (bed->node.loop, &timer);
   ev_prepare_stop (bed->node.loop, &tick);
+  bed->trace = ph_fetch_trace (bed->node.fetch, id);
+  if (bed->retires)
+    ph_fetch_retire_connection (bed->node.fetch, id);
   ph_fetch_drop_transfer (bed->node.fetch, id);
 }
 
@@ -223,7 +235,101 @@
     }
 }
 
+typedef struct
+{
+  const char *name;
+  uint64_t last_id; /* of the last transfer; 0 for none */
+  uint32_t count;   /* of transfers before the last one, with the ids 1 to count */
+  bool is_retired;  /* the connection, before the last transfer */
+  bool is_kept;     /* the last transfer uses the connection of the one before */
+} ReuseCase;
+
+static const ReuseCase reuse_cases[] = {
+  { "another id", 2, 1, false, true },
+  { "no id", 0, 1, false, true },
+  { "the same id", 1, 1, false, false },
+  { "an earlier id", 1, 3, false, false },
+  { "a retired connection", 2, 1, true, false },
+  { "the last id that can be held", 1000, 255, false, true },
+  { "all ids that can be held", 1000, 256, false, false },
+};
+
+/* Answers each request on a connection that is kept. */
+static void
+on_request (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  static const char response[] = OK "Content-Length: 0\r\n\r\n";
+  char request[4096];
+
+  (void)events;
+  if (recv (watcher->fd, request, sizeof request, 0) <= 0)
+    ev_io_stop (loop, watcher);
+  else
+    CU_ASSERT_EQUAL (send (watcher->fd, response, strlen (response), MSG_NOSIGNAL),
+                     (ssize_t)strlen (response));
+}
+
+static void
+on_accept_kept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Bed *bed = watcher->data;
+  int fd = accept (bed->listen_fd, NULL, NULL);
+
+  (void)events;
+  CU_ASSERT_FATAL (fd >= 0 && bed->kept_count < KEPT_MAX);
+  bed->kept_fds[bed->kept_count++] = fd;
+  ev_io_stop (loop, &bed->request_watcher);
+  ev_io_set (&bed->request_watcher, fd, EV_READ);
+  ev_io_start (loop, &bed->request_watcher);
+}
+
+/* Guards against a connection that carries an id twice, that is used after it was retired, or that
+ * is not kept at all. */
+static void
+test_reuse (void)
+{
+  for (size_t i = 0; i < PH_ARRAY_SIZE (reuse_cases); i++)
+    {
+      const ReuseCase *c = &reuse_cases[i];
+      Bed bed = { 0 };
+      uint64_t before;
+      PhError err;
+
+      bed.node.loop = ev_loop_new (EVFLAG_AUTO);
+      ph_node_update_clock (&bed.node);
+      bed.node.fetch = ph_fetch_new (&bed.node, 4, &err);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bed.node.fetch);
+      start_server (&bed);
+      ev_set_cb (&bed.accept_watcher, on_accept_kept);
+      ev_init (&bed.request_watcher, on_request);
+      for (bed.id_hash = 1; bed.id_hash <= c->count; bed.id_hash++)
+        {
+          bed.retires = c->is_retired;
+          run_transfer (&bed);
+          CU_ASSERT_EQUAL (bed.trace.connection, 1);
+          CU_ASSERT_EQUAL (bed.trace.request_number, bed.id_hash);
+        }
+      before = bed.trace.connection;
+      bed.id_hash = c->last_id;
+      run_transfer (&bed);
+      if (!bed.result.is_ok || (bed.trace.connection == before) != c->is_kept)
+        {
+          fprintf (stderr, "fetch: %s: connection %llu, %s\n", c->name,
+                   (unsigned long long)bed.trace.connection, bed.result.text);
+          CU_FAIL ("wrong connection");
+        }
+      ev_io_stop (bed.node.loop, &bed.accept_watcher);
+      ev_io_stop (bed.node.loop, &bed.request_watcher);
+      ph_fetch_drop (bed.node.fetch);
+      ev_loop_destroy (bed.node.loop);
+      close (bed.listen_fd);
+      while (bed.kept_count > 0)
+        close (bed.kept_fds[--bed.kept_count]);
+    }
+}
+
 static const PhTest tests[] = {
   { "responses that break off", test_responses },
+  { "connections that are used again", test_reuse },
 };
 PH_TEST_SUITE (fetch, tests)
