Tests of the limits of a head

Gap: the unit tests passed with the limits of the number of fields, of their bytes, of a name and of a trailer removed from node/head, and with a zero byte in a field. Change: a table of limits, each with the number of lines that is accepted, and a test of a zero byte.

--- a/tests/test_head.c
+++ b/tests/test_head.c
@@ -178,9 +178,72 @@
     }
 }
 
+typedef struct
+{
+  const char *name;
+  const char *begin;   /* lines before the repeated one */
+  uint32_t name_size;  /* of the repeated field line, in bytes */
+  uint32_t value_size; /* of the same */
+  uint32_t accepted;   /* number of lines that are accepted */
+  const char *error;   /* of the next one */
+} LimitCase;
+
+static const LimitCase limit_cases[] = {
+  { "number of fields", OK, 1, 1, 128, "too many fields" },
+  { "bytes of fields", OK, 1, 1000, 32, "too many fields" },
+  { "the longest name", OK, 255, 1, 127, "too many fields" },
+  { "a longer name", OK, 256, 1, 0, "a line that is no field" },
+  { "bytes of a trailer", OK END, 1, 1, 21842, "too many bytes in heads and trailer" },
+};
+
+/* Guards against a limit that has moved, or that does not hold for a trailer. */
+static void
+test_field_limits (void)
+{
+  for (size_t i = 0; i < PH_ARRAY_SIZE (limit_cases); i++)
+    {
+      const LimitCase *c = &limit_cases[i];
+      PhHead head = { 0 };
+      const char *error = add_lines (&head, c->begin);
+      char line[2048];
+      uint32_t accepted = 0;
+      size_t size = c->name_size + c->value_size + 4;
+
+      memset (line, 'x', size);
+      line[c->name_size] = ':';
+      line[c->name_size + 1] = ' ';
+      line[size - 2] = '\r';
+      line[size - 1] = '\n';
+      while (error == NULL && accepted <= c->accepted)
+        {
+          error = ph_head_add_line (&head, line, size);
+          accepted += error == NULL ? 1 : 0;
+        }
+      if (accepted != c->accepted || error == NULL || strcmp (error, c->error) != 0)
+        {
+          fprintf (stderr, "head: %s: %u lines, %s\n", c->name, accepted,
+                   error != NULL ? error : "accepted");
+          CU_FAIL ("wrong limit");
+        }
+      ph_head_clear (&head);
+    }
+}
+
+/* Guards against a field that ends at a zero byte, when the rest of its line is dropped. */
+static void
+test_zero_byte (void)
+{
+  static const char line[] = "A: b\0c\r\n";
+  PhHead head = { 0 };
+
+  CU_ASSERT_PTR_NULL (add_lines (&head, OK));
+  CU_ASSERT_PTR_NOT_NULL (ph_head_add_line (&head, line, sizeof line - 1));
+  ph_head_clear (&head);
+}
+
 static const PhTest tests[] = {
-  { "heads", test_heads },
-  { "cuts", test_cuts },
-  { "limits", test_limits },
+  { "heads", test_heads },         { "cuts", test_cuts },
+  { "limits", test_limits },       { "field limits", test_field_limits },
+  { "zero byte", test_zero_byte },
 };
 PH_TEST_SUITE (head, tests)
