A test of a second id behind the right one

Gap: tests/e2e/copies.sh passed when the adapter of the platform did not count the ids of a response: the other id came first in its only case. Change: the mode two-ids-last sends the id of another request behind the right one.

--- a/tests/e2e/copies.sh
+++ b/tests/e2e/copies.sh
@@ -126,6 +126,7 @@
 fails|field-cut|length chunked
 fails|line-cut|length chunked
 fails|two-ids|length chunked
+fails|two-ids-last|length chunked
 fails|two-seals|length chunked
 fails|two-lengths|length
 succeeds|interim|length chunked close
--- a/tests/standins/stutter.c
+++ b/tests/standins/stutter.c
@@ -55,17 +55,18 @@
 typedef enum
 {
   HEAD_WHOLE,
-  HEAD_STATUS_CUT,  /* "HTTP/1.1 200 O", then an answer with status 500 */
-  HEAD_FIELD_CUT,   /* an answer cut within a field line, then one with status 500 */
-  HEAD_LINE_CUT,    /* an answer cut after a field line, then one with status 500 */
-  HEAD_TWO_IDS,     /* the ids of another request and of this one */
-  HEAD_TWO_SEALS,   /* two seals */
-  HEAD_TWO_LENGTHS, /* two lengths that differ */
-  HEAD_INTERIM,     /* an interim response with the id of another request, then the answer */
-  HEAD_STATUS_END,  /* cut within the status line, then the connection is closed */
-  HEAD_FIELD_END,   /* cut within a field line, then closed */
-  HEAD_LINE_END,    /* cut after a field line, then closed */
-  BODY_RESET        /* cut within the body, then the connection is reset */
+  HEAD_STATUS_CUT,   /* "HTTP/1.1 200 O", then an answer with status 500 */
+  HEAD_FIELD_CUT,    /* an answer cut within a field line, then one with status 500 */
+  HEAD_LINE_CUT,     /* an answer cut after a field line, then one with status 500 */
+  HEAD_TWO_IDS,      /* the ids of another request and of this one */
+  HEAD_TWO_IDS_LAST, /* the ids of this request and of another one */
+  HEAD_TWO_SEALS,    /* two seals */
+  HEAD_TWO_LENGTHS,  /* two lengths that differ */
+  HEAD_INTERIM,      /* an interim response with the id of another request, then the answer */
+  HEAD_STATUS_END,   /* cut within the status line, then the connection is closed */
+  HEAD_FIELD_END,    /* cut within a field line, then closed */
+  HEAD_LINE_END,     /* cut after a field line, then closed */
+  BODY_RESET         /* cut within the body, then the connection is reset */
 } HeadFault;
 
 static const struct
@@ -87,6 +88,7 @@
   { "field-cut", COPY_NONE, HEAD_FIELD_CUT, ANSWER_SUCCESS },
   { "line-cut", COPY_NONE, HEAD_LINE_CUT, ANSWER_SUCCESS },
   { "two-ids", COPY_NONE, HEAD_TWO_IDS, ANSWER_SUCCESS },
+  { "two-ids-last", COPY_NONE, HEAD_TWO_IDS_LAST, ANSWER_SUCCESS },
   { "two-seals", COPY_NONE, HEAD_TWO_SEALS, ANSWER_SUCCESS },
   { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS, ANSWER_SUCCESS },
   { "interim", COPY_NONE, HEAD_INTERIM, ANSWER_SUCCESS },
@@ -173,7 +175,8 @@
   int status;
   AnswerKind kind;
   Framing framing;
-  const char *extra; /* further field lines, or NULL */
+  const char *extra; /* field lines before the others, or NULL */
+  const char *last;  /* field lines behind the others, or NULL */
 } Answer;
 
 /* Writes a complete answer. */
@@ -199,8 +202,8 @@
   text->size = (size_t)size;
   if (answer->kind == ANSWER_SUCCESS)
     size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size,
-                     "Response-Seal: %s.%u.%d\r\n%s", instance, answer->run, answer->status,
-                     framing_line);
+                     "Response-Seal: %s.%u.%d\r\n%s%s", instance, answer->run, answer->status,
+                     framing_line, answer->last != NULL ? answer->last : "");
   else
     size = snprintf (text->bytes + text->size, sizeof text->bytes - text->size, "%s%s",
                      answer->kind == ANSWER_MISDIRECTED ? "" : "Not-Executed: 1\r\n", framing_line);
@@ -234,12 +237,13 @@
     [HEAD_TWO_LENGTHS] = "Content-Length: 7\r\n",
     [BODY_RESET] = NULL,
   };
+  const char *last = head == HEAD_TWO_IDS_LAST ? extra[HEAD_TWO_IDS] : NULL;
   Text answer = { .size = 0 };
   Text other = { .size = 0 };
   size_t size = 0;
 
-  format_answer (&answer, &(Answer){ id, run, 200, ANSWER_SUCCESS, framing, extra[head] });
-  format_answer (&other, &(Answer){ id, run, 500, ANSWER_SUCCESS, framing, NULL });
+  format_answer (&answer, &(Answer){ id, run, 200, ANSWER_SUCCESS, framing, extra[head], last });
+  format_answer (&other, &(Answer){ id, run, 500, ANSWER_SUCCESS, framing, NULL, NULL });
   switch (head)
     {
     case HEAD_STATUS_CUT:
@@ -427,7 +431,7 @@
   for (size_t i = 0; i < sizeof modes / sizeof *modes; i++)
     if (strcmp (modes[i].name, mode) == 0)
       {
-        Answer answer = { id, 1, 200, modes[i].kind, framing, NULL };
+        Answer answer = { id, 1, 200, modes[i].kind, framing, NULL, NULL };
 
         if (answer.kind != ANSWER_SUCCESS)
           answer.status = answer.kind == ANSWER_MISDIRECTED ? 421 : 503;
