Random faults on the platform's path, with a judge of each response

Change: tests/soak/platform.sh runs 3 to 6 nodes with SIGTERM, SIGHUP, SIGKILL, STOP and CONT, configuration changes, a store that is down and odd entries in it. standin-stutter draws its mode from a seed and writes a ledger; standin-caller keeps connections, pipelines, hedges, repeats and leaves, then compares each response with the ledgers. soak.sh shares its functions in soak_lib.sh. Connections are reset by the upstreams and the callers; between nodes only by the end of a process, as a node announces the port that it listens on.

--- a/Makefile
+++ b/Makefile
@@ -75,10 +75,11 @@
 	@$(MAKE) --no-print-directory -j8 all $(addprefix $(BUILD)/bench-,$(BENCHES))
 	@scripts/bench
 
-# Random faults in real processes, about 20 s for each seed: make soak SEEDS=50
+# Random faults in real processes, about 20 s for each seed, on both paths: make soak SEEDS=50
 soak: deps
 	@$(MAKE) --no-print-directory -j8 all
 	@tests/soak/soak.sh $(BUILD)
+	@tests/soak/platform.sh $(BUILD)
 
 # The generated codec is committed. This target generates it again and needs rpcgen.
 xdr:
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -8,35 +8,17 @@
 shift
 net=79
 cd "$(dirname "$0")/../.." && . tests/e2e/lib.sh
+. tests/soak/soak_lib.sh
+seed_file=tests/soak/seeds
+soak_name=soak
 nodes='1 2 3 4 5 6'
 fault_seconds=8
 targets=$(join_addresses entry_address $nodes)
 ledgers=$(join_addresses upstream_address $nodes)
 
-seeds_to_run () { # [SEED...]: prints the seeds
-  local i
-  [ $# -gt 0 ] && { echo "$@"; return; }
-  grep -oE '^[0-9]+' tests/soak/seeds
-  for ((i = 0; i < ${SEEDS:-10}; i++)); do echo $((($(date +%s) * 100 + i) % 1000000000)); done
-}
-
-# N: sets $drawn to a random number from 0 to N - 1. Not for subshells, where RANDOM would not advance.
-draw () { drawn=$((RANDOM % $1)); }
-
 centre_of () { local all=(kamloops squamish revelstoke); echo "${all[$((($1 - 1) % 3))]}"; }
-is_running () { [ -n "${pid[$1]:-}" ] && kill -0 "${pid[$1]}" 2>/dev/null; }
-
 restart_node () { is_running "node$1" || start_node "$1" "$(centre_of "$1")"; }
 
-# Pauses a process for 0.3 to 1.9 s, in the background. That is shorter than the deadline of a call,
-# 2 s (the default of standin-load), so that a paused entry node still responds in time.
-pause () { # NAME PID
-  draw 20
-  is_running "$1" || return
-  kill -STOP "${pid[$1]}"
-  { sleep $((drawn / 10)).$((3 + drawn % 7)); kill -CONT "$2"; } 2>/dev/null &
-}
-
 # Causes one random fault at a random VM, or repairs one, and logs it. Upstreams are never killed,
 # because their ledgers record which calls ran. In the log, store-0 means that the store goes down;
 # store-1 and store-2 mean that it is up again.
@@ -63,15 +45,6 @@
   echo "$(date +%s.%N | cut -c1-14) $fault vm-$vm" >>"$work_dir/faults.log"
 }
 
-run_faults () {
-  local end=$(($(date +%s%N) + fault_seconds * 1000000000))
-  while [ "$(date +%s%N)" -lt $end ]; do
-    one_fault
-    draw 8
-    sleep 0.$((drawn + 1))
-  done
-}
-
 repair () { # resumes or restarts all processes
   local i
   kill -CONT ${pid[@]} 2>/dev/null
@@ -101,19 +74,4 @@
   check "seed $1: afterwards every response is complete" all_complete
 }
 
-end_seed () { # SEED FAILED: ends the processes; keeps the logs when more than FAILED checks have failed
-  local name
-  for name in "${!pid[@]}"; do stop_process "$name" KILL; done
-  if [ "$failed" -gt "$2" ]; then
-    cp -r "$work_dir" "/tmp/soak-$1-logs"
-    echo "seed $1: logs in /tmp/soak-$1-logs"
-  fi
-  rm -f "$work_dir"/*.log "$work_dir"/*.out
-}
-
-for seed in $(seeds_to_run "$@"); do
-  before=$failed
-  run_seed "$seed"
-  end_seed "$seed" "$before"
-done
-finish
+run_seeds "$@"
--- a/tests/standins/stutter.c
+++ b/tests/standins/stutter.c
@@ -2,25 +2,25 @@
  * Upstream of the object platform whose connections carry bytes besides one answer
  * to each request.
  *
- * Arguments: HOST:PORT INSTANCE. The path of a request is /ROUTE/MODE/FRAMING: a mode
- * of the table below and "length", "chunked" or "close". The first run of an id gets
- * status 200, each later one status 500, and the body names the id and the run. A second
- * copy of an answer has the field X-Copy. GET /health is answered at once, and again
- * when the next request arrives on its connection. On SIGTERM, prints how many requests
- * came, and how many had an id that the same connection had carried before.
+ * Arguments: HOST:PORT INSTANCE [SEED SERVICE NODE]. The path of a request is
+ * /ROUTE/MODE/FRAMING: a mode of the table below and "length", "chunked" or "close". The
+ * first run of an id gets status 200, each later one status 500, and the body names the
+ * id and the run. A second copy of an answer has the field X-Copy. GET /health is
+ * answered at once, and again when the next request arrives on its connection. On
+ * SIGTERM, prints how many requests came, and how many had an id that the same
+ * connection had carried before.
+ *
+ * With a seed, mode and status of a request to the mode "random" depend on seed, id and
+ * run; heartbeats for SERVICE go to NODE, HOST:PORT; and each request is a line of the
+ * ledger on standard output: INSTANCE ID RUN STATUS ENDING. RUN is 0 when the request was
+ * refused. ENDING is "whole", "cut" when a part of the body may arrive, or "none".
  */
-#include <arpa/inet.h>
-#include <errno.h>
+#include "standin.h"
+
 #include <poll.h>
 #include <signal.h>
-#include <stdbool.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
-#include <time.h>
-#include <unistd.h>
 
 #define CLIENTS_MAX 256
 #define IDS_MAX 65536
@@ -28,6 +28,9 @@
 #define BYTES_MAX 8192
 #define CLIENT_IDS_MAX 64
 #define PAUSE_MS 20 /* between the parts of what is sent */
+#define HEARTBEAT_MS 300
+#define ENDLESS_MS 3000 /* longer than the deadline of a request, 2000 ms */
+#define PADDING_MAX 4000
 
 /* When a second copy of an answer is sent, on the same connection. */
 typedef enum
@@ -66,7 +69,10 @@
   HEAD_STATUS_END,   /* cut within the status line, then the connection is closed */
   HEAD_FIELD_END,    /* cut within a field line, then closed */
   HEAD_LINE_END,     /* cut after a field line, then closed */
-  BODY_RESET         /* cut within the body, then the connection is reset */
+  HEAD_ENDLESS,      /* field lines until the connection ends */
+  BODY_RESET,        /* cut within the body, then the connection is reset */
+  BODY_ENDLESS,      /* a body that does not end */
+  ANSWER_LOST        /* nothing is sent */
 } HeadFault;
 
 static const struct
@@ -75,30 +81,34 @@
   CopyTime copy;
   HeadFault head;
   AnswerKind kind;
+  unsigned share; /* of the mode "random", of 1000; the rest is plain */
 } modes[] = {
-  { "plain", COPY_NONE, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "together", COPY_TOGETHER, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "late", COPY_LATE, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "late-end", COPY_LATE_END, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "due", COPY_DUE, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "joined", COPY_JOINED, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "halves", COPY_HALVES, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "split", COPY_SPLIT, HEAD_WHOLE, ANSWER_SUCCESS },
-  { "status-cut", COPY_NONE, HEAD_STATUS_CUT, ANSWER_SUCCESS },
-  { "field-cut", COPY_NONE, HEAD_FIELD_CUT, ANSWER_SUCCESS },
-  { "line-cut", COPY_NONE, HEAD_LINE_CUT, ANSWER_SUCCESS },
-  { "two-ids", COPY_NONE, HEAD_TWO_IDS, ANSWER_SUCCESS },
-  { "two-ids-last", COPY_NONE, HEAD_TWO_IDS_LAST, ANSWER_SUCCESS },
-  { "two-seals", COPY_NONE, HEAD_TWO_SEALS, ANSWER_SUCCESS },
-  { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS, ANSWER_SUCCESS },
-  { "interim", COPY_NONE, HEAD_INTERIM, ANSWER_SUCCESS },
-  { "status-end", COPY_NONE, HEAD_STATUS_END, ANSWER_SUCCESS },
-  { "field-end", COPY_NONE, HEAD_FIELD_END, ANSWER_SUCCESS },
-  { "line-end", COPY_NONE, HEAD_LINE_END, ANSWER_SUCCESS },
-  { "body-reset", COPY_NONE, BODY_RESET, ANSWER_SUCCESS },
-  { "refusal", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL },
-  { "refusal-no-id", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL_NO_ID },
-  { "misdirected", COPY_DUE, HEAD_WHOLE, ANSWER_MISDIRECTED },
+  { "plain", COPY_NONE, HEAD_WHOLE, ANSWER_SUCCESS, 0 },
+  { "together", COPY_TOGETHER, HEAD_WHOLE, ANSWER_SUCCESS, 30 },
+  { "late", COPY_LATE, HEAD_WHOLE, ANSWER_SUCCESS, 120 },
+  { "late-end", COPY_LATE_END, HEAD_WHOLE, ANSWER_SUCCESS, 20 },
+  { "due", COPY_DUE, HEAD_WHOLE, ANSWER_SUCCESS, 30 },
+  { "joined", COPY_JOINED, HEAD_WHOLE, ANSWER_SUCCESS, 20 },
+  { "halves", COPY_HALVES, HEAD_WHOLE, ANSWER_SUCCESS, 20 },
+  { "split", COPY_SPLIT, HEAD_WHOLE, ANSWER_SUCCESS, 20 },
+  { "status-cut", COPY_NONE, HEAD_STATUS_CUT, ANSWER_SUCCESS, 10 },
+  { "field-cut", COPY_NONE, HEAD_FIELD_CUT, ANSWER_SUCCESS, 10 },
+  { "line-cut", COPY_NONE, HEAD_LINE_CUT, ANSWER_SUCCESS, 10 },
+  { "two-ids", COPY_NONE, HEAD_TWO_IDS, ANSWER_SUCCESS, 5 },
+  { "two-ids-last", COPY_NONE, HEAD_TWO_IDS_LAST, ANSWER_SUCCESS, 5 },
+  { "two-seals", COPY_NONE, HEAD_TWO_SEALS, ANSWER_SUCCESS, 5 },
+  { "two-lengths", COPY_NONE, HEAD_TWO_LENGTHS, ANSWER_SUCCESS, 5 },
+  { "interim", COPY_NONE, HEAD_INTERIM, ANSWER_SUCCESS, 10 },
+  { "status-end", COPY_NONE, HEAD_STATUS_END, ANSWER_SUCCESS, 10 },
+  { "field-end", COPY_NONE, HEAD_FIELD_END, ANSWER_SUCCESS, 10 },
+  { "line-end", COPY_NONE, HEAD_LINE_END, ANSWER_SUCCESS, 10 },
+  { "body-reset", COPY_NONE, BODY_RESET, ANSWER_SUCCESS, 20 },
+  { "refusal", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL, 30 },
+  { "refusal-no-id", COPY_DUE, HEAD_WHOLE, ANSWER_REFUSAL_NO_ID, 30 },
+  { "misdirected", COPY_DUE, HEAD_WHOLE, ANSWER_MISDIRECTED, 5 },
+  { "lost", COPY_NONE, ANSWER_LOST, ANSWER_SUCCESS, 5 },
+  { "endless-head", COPY_NONE, HEAD_ENDLESS, ANSWER_SUCCESS, 3 },
+  { "endless-body", COPY_NONE, BODY_ENDLESS, ANSWER_SUCCESS, 3 },
 };
 
 typedef enum
@@ -125,7 +135,8 @@
   int fd;
   CopyTime time; /* of copy */
   unsigned id_count;
-  bool closes; /* once due has been sent */
+  bool closes;          /* once due has been sent */
+  long endless_till_ms; /* end of an endless answer, or 0 */
   char ids[CLIENT_IDS_MAX][ID_SIZE];
   char head[BYTES_MAX]; /* of the request that is being read */
 } Client;
@@ -135,6 +146,10 @@
 static char run_ids[IDS_MAX][ID_SIZE];
 static unsigned run_count, requests, repeated_ids;
 static const char *instance;
+static uint64_t seed; /* 0 for none */
+static const char *service;
+static struct sockaddr_in own_address, node_address;
+static int heartbeat_fd = -1;
 static volatile sig_atomic_t is_stopped;
 
 static void
@@ -176,6 +191,7 @@
   AnswerKind kind;
   Framing framing;
   const char *extra; /* field lines before the others, or NULL */
+  unsigned padding;  /* bytes at the end of the body */
   const char *last;  /* field lines behind the others, or NULL */
 } Answer;
 
@@ -183,13 +199,17 @@
 static void
 format_answer (Text *text, const Answer *answer)
 {
-  char body[256];
+  char body[256 + PADDING_MAX];
   char id_line[ID_SIZE + 16] = "";
   char framing_line[64] = "";
-  int body_size = snprintf (body, sizeof body, "answer of %s to %s, run %u, status %d\n", instance,
-                            answer->id, answer->run, answer->status);
+  int body_size
+      = snprintf (body, sizeof body, "answer of %s to %s, run %u, status %d, padding %u\n",
+                  instance, answer->id, answer->run, answer->status, answer->padding);
   int size;
 
+  memset (body + body_size, 'x', answer->padding);
+  body_size += (int)answer->padding;
+  body[body_size] = '\0';
   if (answer->kind == ANSWER_SUCCESS || answer->kind == ANSWER_REFUSAL)
     snprintf (id_line, sizeof id_line, "Attempt-Id: %s\r\n", answer->id);
   if (answer->framing == FRAMED_BY_LENGTH)
@@ -228,22 +248,27 @@
 /* Sends what a mode with a faulty head makes of an answer. Returns false when the connection ends.
  */
 static bool
-send_faulty_head (Client *client, HeadFault head, const char *id, unsigned run, Framing framing)
+send_faulty_head (Client *client, HeadFault head, const Answer *what)
 {
   static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
   static const char *const extra[] = {
     [HEAD_TWO_IDS] = "Attempt-Id: 0123456789abcdef\r\n",
     [HEAD_TWO_SEALS] = "Response-Seal: i-other.1.200\r\n",
     [HEAD_TWO_LENGTHS] = "Content-Length: 7\r\n",
-    [BODY_RESET] = NULL,
+    [ANSWER_LOST] = NULL,
   };
-  const char *last = head == HEAD_TWO_IDS_LAST ? extra[HEAD_TWO_IDS] : NULL;
+  Answer first = *what;
+  Answer second = *what;
   Text answer = { .size = 0 };
   Text other = { .size = 0 };
   size_t size = 0;
 
-  format_answer (&answer, &(Answer){ id, run, 200, ANSWER_SUCCESS, framing, extra[head], last });
-  format_answer (&other, &(Answer){ id, run, 500, ANSWER_SUCCESS, framing, NULL, NULL });
+  first.status = 200;
+  first.extra = extra[head];
+  first.last = head == HEAD_TWO_IDS_LAST ? extra[HEAD_TWO_IDS] : NULL;
+  second.status = 500;
+  format_answer (&answer, &first);
+  format_answer (&other, &second);
   switch (head)
     {
     case HEAD_STATUS_CUT:
@@ -259,8 +284,16 @@
       size = size_up_to (&answer, ".200\r\n"); /* the end of the seal */
       break;
     case BODY_RESET:
+    case BODY_ENDLESS:
       size = size_up_to (&answer, "answer of ");
+      client->endless_till_ms = head == BODY_ENDLESS ? now_ms () + ENDLESS_MS : 0;
       break;
+    case HEAD_ENDLESS:
+      size = size_up_to (&answer, ".200\r\n");
+      client->endless_till_ms = now_ms () + ENDLESS_MS;
+      break;
+    case ANSWER_LOST:
+      return true;
     case HEAD_INTERIM:
       {
         static const char interim[]
@@ -280,6 +313,8 @@
       setsockopt (client->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
       return false;
     }
+  if (head == HEAD_ENDLESS || head == BODY_ENDLESS)
+    return true;
   if (head == HEAD_STATUS_END || head == HEAD_FIELD_END || head == HEAD_LINE_END)
     return false;
   return send_text (client->fd, other.bytes, other.size);
@@ -354,7 +389,6 @@
   Answer what_copied = *what;
   Text answer = { .size = 0 };
   Text copy = { .size = 0 };
-  unsigned run = what->run;
   size_t half;
   bool has_to_wait;
 
@@ -368,15 +402,15 @@
   client->time = COPY_NONE;
   append (&client->due, answer.bytes, answer.size);
   client->closes = what->framing == FRAMED_BY_CLOSE;
-  if (run == 1 && time == COPY_TOGETHER)
+  if (time == COPY_TOGETHER)
     append (&client->due, copy.bytes, copy.size);
-  if (run == 1 && time == COPY_SPLIT)
+  if (time == COPY_SPLIT)
     {
       append (&client->due, copy.bytes, half);
       append (&client->copy, copy.bytes + half, copy.size - half);
       client->time = time;
     }
-  if (run == 1 && (time == COPY_DUE || time == COPY_JOINED || time == COPY_HALVES))
+  if (time == COPY_DUE || time == COPY_JOINED || time == COPY_HALVES)
     {
       client->copy = copy;
       client->time = time;
@@ -389,16 +423,73 @@
   if (!send_text (client->fd, client->due.bytes, client->due.size))
     return false;
   client->due.size = 0;
-  if (run == 1 && (time == COPY_LATE || time == COPY_LATE_END))
+  if (time == COPY_LATE || time == COPY_LATE_END)
     {
       client->due = copy;
-      client->due_at_ms = now_ms () + PAUSE_MS;
+      client->due_at_ms
+          = now_ms () + (seed != 0 ? 1 + (long)(ph_mix (seed + requests) % 50) : PAUSE_MS);
       client->closes = time == COPY_LATE_END;
       return true;
     }
   return !client->closes;
 }
 
+/* Draws the mode of a request to the mode "random". */
+static unsigned
+draw_mode (uint64_t drawn)
+{
+  unsigned left = (unsigned)(drawn % 1000);
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      if (left < modes[i].share)
+        return i;
+      left -= modes[i].share;
+    }
+  return 0;
+}
+
+/* What a caller may get of an answer, for the ledger. */
+static const char *
+ending_of (HeadFault head)
+{
+  if (head == HEAD_WHOLE || head == HEAD_INTERIM)
+    return "whole";
+  return head == BODY_RESET || head == BODY_ENDLESS ? "cut" : "none";
+}
+
+/* Answers a request in a mode. Returns false when the connection ends. */
+static bool
+answer_in_mode (Client *client, unsigned mode, const char *id, Framing framing, bool is_random)
+{
+  Answer answer = { id, 1, 200, modes[mode].kind, framing, NULL, 0, NULL };
+  HeadFault head = modes[mode].head;
+  uint64_t drawn;
+
+  if (answer.kind != ANSWER_SUCCESS)
+    answer.status = answer.kind == ANSWER_MISDIRECTED ? 421 : 503;
+  else if ((answer.run = count_run (id)) > 1)
+    answer.status = 500;
+  if (head == BODY_ENDLESS)
+    answer.framing = FRAMED_BY_CLOSE;
+  if (head != HEAD_WHOLE)
+    answer.status = 200;
+  if (is_random && head == HEAD_WHOLE && answer.kind == ANSWER_SUCCESS)
+    {
+      drawn = ph_mix (seed ^ ph_mix (ph_hash (id) + answer.run));
+      answer.status = drawn % 5 == 0 ? 500 : 200;
+      answer.padding = drawn / 5 % 4 == 0 ? (unsigned)(drawn / 20 % PADDING_MAX) : 0;
+    }
+  if (seed != 0)
+    printf ("%s %s %u %d %s\n", instance, id, answer.kind == ANSWER_SUCCESS ? answer.run : 0,
+            answer.status, ending_of (head));
+  if (head != HEAD_WHOLE)
+    return send_faulty_head (client, head, &answer)
+           && (answer.framing != FRAMED_BY_CLOSE || client->endless_till_ms > 0
+               || head == ANSWER_LOST);
+  return send_answer (client, is_random || answer.run == 1 ? modes[mode].copy : COPY_NONE, &answer);
+}
+
 /* Answers the request in client->head. Returns false when the connection ends. */
 static bool
 answer_request (Client *client)
@@ -428,23 +519,73 @@
       framing = (Framing)i;
   requests++;
   note_id (client, id);
-  for (size_t i = 0; i < sizeof modes / sizeof *modes; i++)
+  if (strcmp (mode, "random") == 0)
+    {
+      unsigned drawn = draw_mode (ph_mix (seed + ph_hash (id) + requests));
+
+      /* A copy of an answer that ends with its connection would be a part of its body, and the
+       * other one of two lengths the only one. */
+      if (modes[drawn].copy != COPY_NONE || modes[drawn].head == HEAD_TWO_LENGTHS)
+        framing = FRAMED_BY_LENGTH;
+      return answer_in_mode (client, drawn, id, framing, true);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes); i++)
     if (strcmp (modes[i].name, mode) == 0)
-      {
-        Answer answer = { id, 1, 200, modes[i].kind, framing, NULL, NULL };
-
-        if (answer.kind != ANSWER_SUCCESS)
-          answer.status = answer.kind == ANSWER_MISDIRECTED ? 421 : 503;
-        else if ((answer.run = count_run (id)) > 1)
-          answer.status = 500;
-        return modes[i].head != HEAD_WHOLE
-                   ? send_faulty_head (client, modes[i].head, id, answer.run, framing)
-                         && framing != FRAMED_BY_CLOSE
-                   : send_answer (client, modes[i].copy, &answer);
-      }
+      return answer_in_mode (client, i, id, framing, false);
   return false;
 }
 
+/* Sends more of an endless answer. Returns false when the connection has ended. */
+static bool
+send_endless (Client *client)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  char line[1024];
+
+  if (now_ms () > client->endless_till_ms)
+    {
+      setsockopt (client->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      return false;
+    }
+  memset (line, 'x', sizeof line);
+  memcpy (line, "X-Fill: ", strlen ("X-Fill: "));
+  memcpy (line + sizeof line - 2, "\r\n", 2);
+  return send (client->fd, line, sizeof line, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0 || errno == EAGAIN;
+}
+
+/* Sends a heartbeat, without waiting for the answer to it, as the node may be paused. */
+static void
+send_heartbeat (void)
+{
+  static long last_ms, born_ms, sequence;
+  char body[512];
+  char text[1024];
+  char host[INET_ADDRSTRLEN];
+  int body_size;
+  int size;
+
+  if (seed == 0 || now_ms () < last_ms + HEARTBEAT_MS)
+    return;
+  last_ms = now_ms ();
+  if (sequence++ == 0)
+    born_ms = time (NULL) * 1000;
+  inet_ntop (AF_INET, &own_address.sin_addr, host, sizeof host);
+  body_size = snprintf (body, sizeof body,
+                        "{\"address\":\"%s:%d\",\"born\":%ld,\"info\":{\"service\":\"%s\","
+                        "\"version\":\"v1\",\"zone\":\"z\",\"slots\":30},\"status\":{\"state\":"
+                        "\"ready\",\"sequence\":%ld,\"coldLeft\":\"0ms\"}}",
+                        host, ntohs (own_address.sin_port), born_ms, service, sequence);
+  size = snprintf (text, sizeof text,
+                   "PUT /instances/%s HTTP/1.1\r\nHost: node\r\nContent-Length: %d\r\n"
+                   "Connection: close\r\n\r\n%s",
+                   instance, body_size, body);
+  if (heartbeat_fd >= 0)
+    close (heartbeat_fd);
+  heartbeat_fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (connect (heartbeat_fd, (struct sockaddr *)&node_address, sizeof node_address) == 0)
+    send (heartbeat_fd, text, (size_t)size, MSG_NOSIGNAL);
+}
+
 /* Sends what is due and reads what has arrived. Returns false when the connection has ended. */
 static bool
 serve (Client *client)
@@ -452,6 +593,8 @@
   char byte;
   ssize_t size;
 
+  if (client->endless_till_ms > 0)
+    return send_endless (client);
   if (client->due.size > 0)
     {
       if (now_ms () < client->due_at_ms)
@@ -476,22 +619,39 @@
   return size < 0 && errno == EAGAIN;
 }
 
+/* Parses HOST:PORT, which is changed. */
+static bool
+parse_address (char *text, struct sockaddr_in *address)
+{
+  char *colon = strchr (text, ':');
+
+  if (colon == NULL)
+    return false;
+  *colon = '\0';
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)atoi (colon + 1));
+  return inet_pton (AF_INET, text, &address->sin_addr) == 1;
+}
+
 int
 main (int argc, char **argv)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  char *colon = argc > 2 ? strchr (argv[1], ':') : NULL;
   int one = 1;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  if (colon == NULL)
+  if (argc < 3 || !parse_address (argv[1], &own_address))
     return 2;
   instance = argv[2];
-  *colon = '\0';
-  address.sin_port = htons ((uint16_t)atoi (colon + 1));
+  if (argc > 5)
+    {
+      seed = strtoull (argv[3], NULL, 10) + 1;
+      service = argv[4];
+      if (!parse_address (argv[5], &node_address))
+        return 2;
+      setvbuf (stdout, NULL, _IOLBF, 0);
+    }
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (inet_pton (AF_INET, argv[1], &address.sin_addr) != 1
-      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0 || listen (fd, 64) != 0)
+  if (bind (fd, (struct sockaddr *)&own_address, sizeof own_address) != 0 || listen (fd, 64) != 0)
     return 2;
   signal (SIGTERM, on_term);
   while (!is_stopped)
@@ -499,6 +659,7 @@
       struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
 
       poll (&poll_fd, 1, 1);
+      send_heartbeat ();
       if ((poll_fd.revents & POLLIN) != 0 && client_count < CLIENTS_MAX)
         clients[client_count++] = (Client){ .fd = accept (fd, NULL, NULL) };
       for (nfds_t i = client_count; i-- > 0;)
