A test of a request whose kept connection ends without a response

Gap: the unit tests, tests/e2e/copies.sh and misbehave.sh passed when the client let libcurl send such a request again, a GET without a body, on a new connection. Change: a transfer to a server that ends its kept connection after the request. Conclusion: no fault of the node; the test now shows when one comes in.

--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -83,6 +83,9 @@
   ev_io request_watcher; /* of the connection that was opened last, with kept connections */
   int kept_fds[KEPT_MAX];
   uint32_t kept_count;
+  uint32_t request_count; /* on kept connections */
+  uint32_t
+      answered_max; /* number of requests that are answered; the next one ends its connection */
   uint64_t id_hash; /* of the next transfer */
   bool retires;     /* the connection of the next transfer */
   bool is_done;
@@ -259,11 +262,14 @@
 on_request (struct ev_loop *loop, ev_io *watcher, int events)
 {
   static const char response[] = OK "Content-Length: 0\r\n\r\n";
+  Bed *bed = watcher->data;
   char request[4096];
 
   (void)events;
   if (recv (watcher->fd, request, sizeof request, 0) <= 0)
     ev_io_stop (loop, watcher);
+  else if (++bed->request_count > bed->answered_max)
+    shutdown (watcher->fd, SHUT_RDWR);
   else
     CU_ASSERT_EQUAL (send (watcher->fd, response, strlen (response), MSG_NOSIGNAL),
                      (ssize_t)strlen (response));
@@ -291,7 +297,7 @@
   for (size_t i = 0; i < PH_ARRAY_SIZE (reuse_cases); i++)
     {
       const ReuseCase *c = &reuse_cases[i];
-      Bed bed = { 0 };
+      Bed bed = { .answered_max = UINT32_MAX };
       uint64_t before;
       PhError err;
 
@@ -302,6 +308,7 @@
       start_server (&bed);
       ev_set_cb (&bed.accept_watcher, on_accept_kept);
       ev_init (&bed.request_watcher, on_request);
+      bed.request_watcher.data = &bed;
       for (bed.id_hash = 1; bed.id_hash <= c->count; bed.id_hash++)
         {
           bed.retires = c->is_retired;
@@ -328,8 +335,40 @@
     }
 }
 
+/* Guards against a request that is sent twice: libcurl does so when a kept connection ends before
+ * the first byte of its response. */
+static void
+test_lost (void)
+{
+  Bed bed = { .answered_max = 1 };
+  PhError err;
+
+  bed.node.loop = ev_loop_new (EVFLAG_AUTO);
+  ph_node_update_clock (&bed.node);
+  bed.node.fetch = ph_fetch_new (&bed.node, 4, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (bed.node.fetch);
+  start_server (&bed);
+  ev_set_cb (&bed.accept_watcher, on_accept_kept);
+  ev_init (&bed.request_watcher, on_request);
+  bed.request_watcher.data = &bed;
+  for (bed.id_hash = 1; bed.id_hash <= 2; bed.id_hash++)
+    run_transfer (&bed);
+  CU_ASSERT_EQUAL (bed.request_count, 2);
+  CU_ASSERT_EQUAL (bed.trace.request_number, 2);
+  CU_ASSERT_FALSE (bed.result.is_ok);
+  CU_ASSERT_TRUE (bed.result.is_sent);
+  ev_io_stop (bed.node.loop, &bed.accept_watcher);
+  ev_io_stop (bed.node.loop, &bed.request_watcher);
+  ph_fetch_drop (bed.node.fetch);
+  ev_loop_destroy (bed.node.loop);
+  close (bed.listen_fd);
+  while (bed.kept_count > 0)
+    close (bed.kept_fds[--bed.kept_count]);
+}
+
 static const PhTest tests[] = {
   { "responses that break off", test_responses },
   { "connections that are used again", test_reuse },
+  { "a request without a response", test_lost },
 };
 PH_TEST_SUITE (fetch, tests)
