A response that falls silent is ended at the deadline of its call

Change: at the deadline, 0.3 s later and then each second the core asks how many bytes moved; if none did, the runtime aborts the transfer, which closes the caller's connection before the end of the body. A body that moves goes on, and a transfer that waits for the caller is not counted. Conclusion: at the deadline each caller has a response that moves, or its end 0.5 s later.

--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -122,6 +122,8 @@
   PhTime objective_at; /* a later response is of little use; PH_TIME_NEVER for none */
   PhAttemptId latest_attempt;
   PhAttemptId hedge_attempt; /* second concurrent attempt, or 0 */
+  PhTime stall_check_at;     /* next check of a response past the deadline; 0 before the first */
+  uint64_t moved_bytes;      /* see PhEffects.response_progress, at the last check */
   PhTime hedge_at;           /* when to start the hedge; 0 if there is none, or no longer */
   PhRun run;                 /* worst value of the attempts so far; PH_RUN_UNKNOWN is the worst */
   PhReason reason;           /* of the last failed attempt */
@@ -261,8 +263,8 @@
 void ph_call_system (PhContext *ctx, PhWorld *world);
 
 /* ph_call_timer: start the hedge of a call whose hedge time has come, or abandon the attempts of a
- * call whose deadline has passed without a response, and refuse it. handle is that of a PhCallId.
- */
+ * call whose deadline has passed without a response, and refuse it; or end a response that makes no
+ * progress after the deadline. handle is that of a PhCallId. */
 void ph_call_timer (PhContext *ctx, PhWorld *world, uint32_t handle);
 
 /* ph_call_body_discarded: the runtime no longer stores the first bytes of the request body, which
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -20,6 +20,8 @@
  * ph_call_open, and runs ph_world_tick once in each iteration of its event loop.
  */
 
+#define PH_PROGRESS_HELD UINT64_MAX
+
 /* Callbacks by which the core has the runtime act. They are called from ph_world_tick, or from the
  * function of the core that the runtime has called, and must not call back into the core. */
 typedef struct
@@ -34,6 +36,15 @@
   /* Send the caller a response that the call failed. The core removes its row after this call. */
   void (*refuse_call) (void *user, PhCallId call, const PhRefusal *refusal);
 
+  /* Bytes of the request body and the response body that an attempt with a response has moved, or
+   * PH_PROGRESS_HELD while it waits for the caller or has ended. May be NULL: responses have no
+   * deadline then. */
+  uint64_t (*response_progress) (void *user, PhAttemptId attempt);
+
+  /* End the response of an attempt, so that it does not pass as complete. The runtime calls
+   * ph_attempt_finish afterwards. May be NULL if response_progress is. */
+  void (*end_response) (void *user, PhAttemptId attempt);
+
   /* Send one probe to the local upstream, and call ph_probe_result once when it ends. May be NULL.
    */
   void (*send_probe) (void *user, PhUpstreamId upstream);
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -27,6 +27,12 @@
 #define RETRY_AFTER_DIVISOR 4
 #define RETRY_AFTER_MAX (400 * PH_MS)
 
+/* A response past the deadline of its call goes on while its body moves. It is ended if no byte
+ * moves in the first of these times after the deadline, or in the second one later. The caller is
+ * to have a final answer 0.5 s after the timeout of its route. */
+#define STALL_TIME_FIRST (300 * PH_MS)
+#define STALL_TIME PH_SECOND
+
 /* During a planned stop a call is taken if at least this multiple of its objective is left. */
 #define STOP_OBJECTIVES_MIN 3
 
@@ -788,15 +794,53 @@
   return attempt == NULL || attempt->state == PH_ATTEMPT_QUEUED ? PH_RUN_NO : PH_RUN_UNKNOWN;
 }
 
+/* The attempt whose response the caller gets. */
+static PhAttemptId
+responding_attempt (const PhWorld *world, const PhCall *call)
+{
+  return ph_attempt_get (&world->attempts, call->latest_attempt) != NULL ? call->latest_attempt
+                                                                         : call->hedge_attempt;
+}
+
+/* Ends a response past the deadline that has made no progress since the last check. */
+static void
+check_progress (PhContext *ctx, PhWorld *world, PhCallId id)
+{
+  PhCall *call = ph_call_get (&world->calls, id);
+  PhAttemptId attempt = responding_attempt (world, call);
+  bool is_first = call->stall_check_at == 0;
+  uint64_t moved;
+
+  if (world->effects.response_progress == NULL || ctx->now < call->deadline
+      || ctx->now < call->stall_check_at)
+    return;
+  moved = world->effects.response_progress (world->effects.user, attempt);
+  if (!is_first && moved == call->moved_bytes && moved != PH_PROGRESS_HELD)
+    {
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_RESPONSE,
+              ph_trace_peer (world, ph_attempt_get (&world->attempts, attempt)),
+              "the response is ended: its deadline has passed and its body does not move");
+      world->effects.end_response (world->effects.user, attempt);
+      return;
+    }
+  call->moved_bytes = moved;
+  call->stall_check_at = ctx->now + (is_first ? STALL_TIME_FIRST : STALL_TIME);
+  ph_timer_add (&world->timers, call->stall_check_at, PH_TIMER_CALL, id.v);
+}
+
 void
 ph_call_timer (PhContext *ctx, PhWorld *world, uint32_t handle)
 {
   PhCallId id = { handle };
   PhCall *call = ph_call_get (&world->calls, id);
 
-  /* The deadline applies to the head of the response only: a long download may continue. */
-  if (call == NULL || call->state == PH_CALL_RESPONDING)
+  if (call == NULL)
     return;
+  if (call->state == PH_CALL_RESPONDING)
+    {
+      check_progress (ctx, world, id);
+      return;
+    }
   if (ctx->now < call->deadline)
     {
       if (call->hedge_at == 0 || ctx->now < call->hedge_at)
--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -397,6 +397,26 @@
     drop_forward (node->dispatch, forward);
 }
 
+static uint64_t
+response_progress (void *user, PhAttemptId id)
+{
+  PhNode *node = user;
+  const PhForward *forward = forward_of_attempt (node->dispatch, id);
+
+  return forward != NULL ? ph_fetch_progress (node->fetch, forward->transfer) : PH_PROGRESS_HELD;
+}
+
+/* Aborts the transfer of a response; on_done follows. */
+static void
+end_response (void *user, PhAttemptId id)
+{
+  PhNode *node = user;
+  const PhForward *forward = forward_of_attempt (node->dispatch, id);
+
+  if (forward != NULL)
+    ph_fetch_abort (node->fetch, forward->transfer);
+}
+
 static void
 refuse_call (void *user, PhCallId id, const PhRefusal *refusal)
 {
@@ -414,6 +434,8 @@
 {
   effects->start_attempt = start_attempt;
   effects->cancel_attempt = cancel_attempt;
+  effects->response_progress = response_progress;
+  effects->end_response = end_response;
   effects->refuse_call = refuse_call;
 }
 
--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -48,6 +48,7 @@
   size_t body_limit;
   uint32_t send_count; /* times that the request was sent: 0 or 1 */
   uint64_t id_hash;
+  uint64_t supplied_size;    /* bytes of the request body that funcs.read has supplied */
   int opened_fd;             /* socket of the connection that was opened for this transfer, or -1 */
   PhConnectionId connection; /* that the request was sent on */
   PhTransferTrace trace;
@@ -309,7 +310,10 @@
       t->is_send_paused = true;
       return CURL_READFUNC_PAUSE;
     }
-  return result < 0 ? CURL_READFUNC_ABORT : (size_t)result;
+  if (result < 0)
+    return CURL_READFUNC_ABORT;
+  t->supplied_size += (uint64_t)result;
+  return (size_t)result;
 }
 
 /* Refuses to rewind the request body: libcurl would do so to send the request again. */
@@ -647,6 +651,27 @@
   curl_easy_pause (t->easy, paused);
 }
 
+uint64_t
+ph_fetch_progress (PhFetch *fetch, PhTransferId id)
+{
+  const Transfer *t = transfer_get (&fetch->transfers, id);
+
+  return t == NULL || t->is_ended || t->is_receive_paused || t->is_send_paused
+             ? UINT64_MAX
+             : t->supplied_size + t->body.end;
+}
+
+void
+ph_fetch_abort (PhFetch *fetch, PhTransferId id)
+{
+  Transfer *t = transfer_get (&fetch->transfers, id);
+
+  if (t == NULL || t->is_ended)
+    return;
+  curl_multi_remove_handle (fetch->multi, t->easy);
+  end_transfer (t, CURLE_OPERATION_TIMEDOUT);
+}
+
 void
 ph_fetch_drop_transfer (PhFetch *fetch, PhTransferId id)
 {
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -107,6 +107,15 @@
  * 5 s. */
 void ph_fetch_abort_if_stalled (PhFetch *fetch, PhTransferId id);
 
+/* ph_fetch_progress: bytes of the request body that the owner has supplied and bytes of the
+ * response body that have arrived, together. UINT64_MAX when the transfer waits for its owner, has
+ * ended or the handle is stale. */
+uint64_t ph_fetch_progress (PhFetch *fetch, PhTransferId id);
+
+/* ph_fetch_abort: end a transfer as if its timeout had passed; funcs.done follows in the next tick.
+ * Bytes that have arrived can still be read. */
+void ph_fetch_abort (PhFetch *fetch, PhTransferId id);
+
 /* ph_fetch_drop_transfer: end a transfer and free its row; a stale handle is ignored. The
  * functions of the owner are not called. Closes the connection if the response is not complete. */
 void ph_fetch_drop_transfer (PhFetch *fetch, PhTransferId id);
--- a/tests/standins/flood.c
+++ b/tests/standins/flood.c
@@ -1,6 +1,6 @@
 /*
- * Server that answers each request with bytes that never end, until the client
- * closes the connection.
+ * Server that answers each request with bytes that never end, or that stop before
+ * the end, until the client closes the connection.
  *
  * Arguments: HOST:PORT MODE [slow]. MODE names an entry of the table below. With
  * "slow", one byte is sent every 5 ms. On SIGTERM, prints the number of connections
@@ -24,7 +24,7 @@
 {
   const char *name;
   const char *begin;  /* sent once */
-  const char *repeat; /* sent without end */
+  const char *repeat; /* sent without end; "" to fall silent */
 } Mode;
 
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -39,6 +39,9 @@
   { "trailers", CHUNKED "0\r\n", "X-A: b\r\n" },
   { "body", "HTTP/1.1 200 OK\r\n\r\n", "a" },
   { "chunked-body", CHUNKED, "4\r\nabcd\r\n" },
+  { "silent-length", "HTTP/1.1 200 OK\r\nContent-Length: 540000\r\n\r\nabcd", "" },
+  { "silent-chunked", CHUNKED "4\r\nabcd\r\n", "" },
+  { "silent-head", "HTTP/1.1 200 OK\r\nContent-Length: 540000\r\n\r\n", "" },
 };
 
 /* A connection. */
@@ -61,15 +64,27 @@
   is_stopped = 1;
 }
 
-/* Fills a buffer with the bytes of a response from a position on. */
-static void
+/* Whether the bytes of a response have ended at a position. */
+static bool
+is_silent (const Mode *mode, size_t at)
+{
+  return mode->repeat[0] == '\0' && at >= strlen (mode->begin);
+}
+
+/* Fills a buffer with the bytes of a response from a position on. Returns their number. */
+static size_t
 fill (const Mode *mode, size_t at, char *buffer, size_t size)
 {
   size_t begin = strlen (mode->begin);
   size_t period = strlen (mode->repeat);
 
   for (size_t i = 0; i < size; i++, at++)
-    buffer[i] = at < begin ? mode->begin[at] : mode->repeat[(at - begin) % period];
+    {
+      if (at >= begin && period == 0)
+        return i;
+      buffer[i] = at < begin ? mode->begin[at] : mode->repeat[(at - begin) % period];
+    }
+  return size;
 }
 
 /* Sends the next bytes. Returns false when the connection is closed. */
@@ -86,10 +101,10 @@
         return false;
       client->has_request = true;
     }
-  if (!client->has_request)
+  if (!client->has_request || is_silent (mode, client->sent))
     return (events & (POLLERR | POLLHUP)) == 0;
-  fill (mode, client->sent, buffer, sizeof buffer);
-  size = send (client->fd, buffer, is_slow ? 1 : sizeof buffer, MSG_NOSIGNAL | MSG_DONTWAIT);
+  size = (ssize_t)fill (mode, client->sent, buffer, sizeof buffer);
+  size = send (client->fd, buffer, is_slow ? 1 : (size_t)size, MSG_NOSIGNAL | MSG_DONTWAIT);
   if (size < 0)
     return errno == EAGAIN;
   client->sent += (size_t)size;
@@ -123,10 +138,11 @@
     {
       poll_fds[0] = (struct pollfd){ .fd = fd, .events = POLLIN };
       for (nfds_t i = 0; i < client_count; i++)
-        poll_fds[i + 1]
-            = (struct pollfd){ .fd = clients[i].fd,
-                               .events
-                               = clients[i].has_request && !is_slow ? POLLIN | POLLOUT : POLLIN };
+        poll_fds[i + 1] = (struct pollfd){ .fd = clients[i].fd,
+                                           .events = clients[i].has_request && !is_slow
+                                                             && !is_silent (mode, clients[i].sent)
+                                                         ? POLLIN | POLLOUT
+                                                         : POLLIN };
       if (poll (poll_fds, client_count + 1, is_slow ? SLOW_INTERVAL_MS : 100) < 0)
         continue;
       for (nfds_t i = client_count; i-- > 0;)
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -788,6 +788,109 @@
     }
 }
 
+#define STALL_CHECKS 4
+#define HELD PH_PROGRESS_HELD
+
+/* Times of the checks after the deadline. */
+static const PhTime stall_check_times[STALL_CHECKS]
+    = { 0, 300 * PH_MS, 1300 * PH_MS, 2300 * PH_MS };
+
+/* A response whose head came before the deadline: the bytes that have moved at each check, and the
+ * check that ends it, STALL_CHECKS for none. */
+typedef struct
+{
+  const char *name;
+  uint64_t moved[STALL_CHECKS];
+  uint32_t ended_at;
+} StallCase;
+
+static const StallCase stall_cases[] = {
+  { "silent from its head on", { 0, 0 }, 1 },
+  { "silent at the deadline", { 9, 9 }, 1 },
+  { "moves", { 1, 2, 3, 4 }, STALL_CHECKS },
+  { "silent later", { 1, 2, 2 }, 2 },
+  { "the caller does not read", { HELD, HELD, HELD, HELD }, STALL_CHECKS },
+  { "the caller reads again", { 7, HELD, 7, 8 }, STALL_CHECKS },
+  { "silent after the caller has read", { HELD, 7, 7 }, 2 },
+};
+
+typedef struct
+{
+  const StallCase *c;
+  uint32_t check;
+  uint32_t ended_count;
+} Stall;
+
+static void
+stall_start (void *user, PhAttemptId id)
+{
+  (void)user;
+  (void)id;
+}
+
+static uint64_t
+stall_progress (void *user, PhAttemptId id)
+{
+  const Stall *stall = user;
+
+  (void)id;
+  return stall->c->moved[stall->check];
+}
+
+static void
+stall_end (void *user, PhAttemptId id)
+{
+  Stall *stall = user;
+
+  (void)id;
+  stall->ended_count++;
+}
+
+/* Guards against a caller that waits past its deadline for a response whose upstream has fallen
+ * silent, and against a response that moves, or that the caller reads slowly, and is ended. */
+static void
+test_stalls (void)
+{
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (stall_cases); i++)
+    {
+      const StallCase *c = &stall_cases[i];
+      Stall stall = { .c = c };
+      const PhEffects effects = { .start_attempt = stall_start,
+                                  .cancel_attempt = stall_start,
+                                  .response_progress = stall_progress,
+                                  .end_response = stall_end,
+                                  .user = &stall };
+      PhAttemptId attempt = { 0 };
+      PhRefusal refusal;
+      Fixture f;
+
+      fixture_start (&f, 1, 8, &effects);
+      fixture_upsert (&f, (PhUpstreamId){ 0 }, 0, PH_UPSTREAM_READY, "1");
+      ph_call_open (&f.ctx, f.world,
+                    &(PhCallOptions){ .service = FIXTURE_SERVICE, .time_left = PH_SECOND },
+                    &refusal);
+      fixture_tick (&f, 0);
+      fixture_tick (&f, PH_SECOND / 2);
+      attempt = ph_attempt_next (&f.world->attempts, attempt);
+      CU_ASSERT_TRUE_FATAL (ph_attempt_response (&f.ctx, f.world, attempt));
+      fixture_tick (&f, PH_SECOND / 2);
+      for (uint32_t check = 1; check < STALL_CHECKS && stall.ended_count == 0; check++)
+        {
+          /* Nothing is ended between two checks. */
+          fixture_tick (&f, stall_check_times[check] - stall_check_times[check - 1] - PH_MS);
+          CU_ASSERT_EQUAL (stall.ended_count, 0);
+          stall.check = check;
+          fixture_tick (&f, PH_MS);
+        }
+      if (stall.ended_count != (c->ended_at < STALL_CHECKS)
+          || (stall.ended_count > 0 && stall.check != c->ended_at))
+        CU_FAIL (c->name);
+      ph_attempt_finish (&f.ctx, f.world, attempt, false);
+      CU_ASSERT_EQUAL (f.world->calls.count, 0);
+      fixture_stop (&f);
+    }
+}
+
 /* Chooses the local upstream for the first attempt of a call, and a remote one for the others. */
 static PhUpstreamId
 choose_local_first (
@@ -971,6 +1074,7 @@
   { "hedges by size of the response and location of upstreams", test_hedges },
   { "calls admitted or refused on arrival", test_open },
   { "calls during a planned stop", test_stop },
+  { "responses past the deadline", test_stalls },
   { "queued attempts whose request body was discarded", test_discarded_body },
   { "aborted calls in the queue of pending calls", test_stale_pending },
   { "data centre out of service, not yet known here", test_unknown_outage },
