The account of a move has the calls to cold upstreams

Change: nodes also send the number of all calls that were started at their upstreams (control.x). Result: build/unit-tests move, "calls to cold upstreams are in the account": stage above 0 when the account has the counted calls only, 0 after.

--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -80,6 +80,7 @@
   const char *path;
   uint64_t revision;
   bool is_new_version;
+  uint32_t started_calls; /* as in PhEvidence */
   PhMoveCounts route_counts[PH_MOVE_ROUTE_BUCKETS];
 } PhMoveEvidence;
 
@@ -91,6 +92,9 @@
   uint64_t epoch;     /* of the node's process; a restarted node counts from 0 in a new row */
   PhTime updated_at;  /* when the counts were last received or, for the own row, increased */
   bool is_new_version;
+  /* All calls that were passed to the local upstream. route_counts has only those that are evidence
+   * on its version: no calls to a cold upstream, and one for a burst of slow calls. */
+  uint32_t started_calls;
   PhMoveCounts route_counts[PH_MOVE_ROUTE_BUCKETS];
 } PhEvidence;
 
@@ -130,7 +134,7 @@
   PhTime evaluated_at;          /* time of the last periodic run of ph_move_timer */
   PhEvidenceId own_evidence;    /* row with the counts of the local upstream */
   PhTime evidence_sent_at;      /* when own_evidence was last sent */
-  uint32_t evidence_sent_calls; /* calls in own_evidence at that time */
+  uint32_t evidence_sent_calls; /* started and counted calls in own_evidence at that time */
   PhMoveCusum failure_cusums[PH_MOVE_ROUTE_BUCKETS];
   PhMoveCusum slow_cusums[PH_MOVE_ROUTE_BUCKETS];
   /* Counts of the new version that slow_cusums include. */
@@ -152,6 +156,13 @@
 /* Latency of an attempt that was cancelled before its response: counts in the slowest bucket. */
 #define PH_MOVE_LATENCY_ABANDONED INT64_MAX
 
+/*
+ * ph_move_count_start: count an attempt that is passed to the local upstream,
+ * cold or not, for the account of the calls that a version had. Does nothing
+ * while no move of the upstream's service and version is running.
+ */
+void ph_move_count_start (PhContext *ctx, PhWorld *world);
+
 /*
  * ph_move_observe: count an attempt at the local upstream that ended.
  *
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -676,6 +676,7 @@
   attempt->upstream_generation = admission->upstream_generation;
   attempt->started_at = ctx->now;
   ph_trace_started (ctx, world, attempt);
+  ph_move_count_start (ctx, world);
   world->effects.start_attempt (world->effects.user, id);
 }
 
--- a/source/core/gossip.c
+++ b/source/core/gossip.c
@@ -35,7 +35,7 @@
 #define RECORD_FIXED_BYTES 48
 #define OBJECT_FIXED_BYTES 16
 #define MOVE_FIXED_BYTES 32
-#define EVIDENCE_FIXED_BYTES (24 + PH_MOVE_ROUTE_BUCKETS * sizeof (PhMoveCounts))
+#define EVIDENCE_FIXED_BYTES (28 + PH_MOVE_ROUTE_BUCKETS * sizeof (PhMoveCounts))
 #define STRING_OVERHEAD_BYTES 7 /* length and padding */
 
 /* The fixed fields of a member's upstream are its epoch, state, slots and connections: 20 bytes. */
@@ -146,8 +146,10 @@
                          const PhMove *move,
                          const PhEvidence *own)
 {
-  PhMoveEvidence evidence
-      = { .path = move->path, .revision = move->revision, .is_new_version = own->is_new_version };
+  PhMoveEvidence evidence = { .path = move->path,
+                              .revision = move->revision,
+                              .is_new_version = own->is_new_version,
+                              .started_calls = own->started_calls };
   PhGossipMessage out;
 
   memcpy (evidence.route_counts, own->route_counts, sizeof evidence.route_counts);
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -459,6 +459,22 @@
   return calls;
 }
 
+/* Calls of the old or the new version that this node knows to have been started. */
+static uint32_t
+sum_started_calls (const PhWorld *world, PhMoveId id, bool is_new)
+{
+  PhEvidenceId row_id = { 0 };
+  uint32_t calls = 0;
+
+  while ((row_id = ph_evidence_next (&world->evidence, row_id)).v != 0)
+    {
+      const PhEvidence *row = ph_evidence_get (&world->evidence, row_id);
+
+      calls += row->move.v == id.v && row->is_new_version == is_new ? row->started_calls : 0;
+    }
+  return calls;
+}
+
 void
 ph_move_merge (PhContext *ctx, PhWorld *world, const PhMoveState *state)
 {
@@ -539,6 +555,7 @@
   if (row == NULL)
     return;
   row->updated_at = ctx->now;
+  row->started_calls = max_u32 (row->started_calls, evidence->started_calls);
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS; i++)
     {
       PhMoveCounts *known = &row->route_counts[i];
@@ -643,6 +660,27 @@
   return ph_evidence_get (&world->evidence, move->own_evidence);
 }
 
+void
+ph_move_count_start (PhContext *ctx, PhWorld *world)
+{
+  PhMoveId id = { 0 };
+
+  while ((id = ph_move_next (&world->moves, id)).v != 0)
+    {
+      const PhMove *move = ph_move_get (&world->moves, id);
+      PhEvidence *row;
+      bool is_new;
+
+      if (!is_local_participant (world, move, &is_new) || !is_running (ctx, move))
+        continue;
+      row = intern_own_evidence (world, id, is_new);
+      if (row == NULL)
+        continue;
+      row->updated_at = ctx->now;
+      row->started_calls++;
+    }
+}
+
 void
 ph_move_observe (
     PhContext *ctx, PhWorld *world, uint32_t route_bucket, PhTime latency, bool is_failure)
@@ -1107,11 +1145,13 @@
   return (double)(ctx->now - move->learned_at) / (double)move->spec.duration;
 }
 
-/* Known calls of a move's service. */
+/* Known calls of a move's service: those that are evidence, and all that were started. */
 typedef struct
 {
   uint32_t new_calls;
   uint32_t old_calls;
+  uint32_t new_started;
+  uint32_t old_started;
   /* Upstreams of the service for each node whose counts are known and recent, at least 1. The known
    * calls are multiplied by this where the counts of some nodes are missing or old. */
   double upstreams_per_row;
@@ -1126,21 +1166,22 @@
   double share = duration_stages[move->stage + 1].share;
   double end = share < 1 ? duration_stages[DURATION_STAGES - 1].begins_by : LAST_STAGE_END;
   double left = end > elapsed ? end - elapsed : 0;
-  double total = (double)known->new_calls + known->old_calls;
+  double total = (double)known->new_started + known->old_started;
   double calls_per_duration = total * known->upstreams_per_row / elapsed;
   double reserve
       = share < 1 ? calls_per_duration * DETECTION_TIME / (double)move->spec.duration : 0;
 
-  return known->new_calls * known->upstreams_per_row + share * calls_per_duration * left + reserve
+  return known->new_started * known->upstreams_per_row + share * calls_per_duration * left + reserve
          <= EXPOSURE_SHARE * (total + calls_per_duration * (1 - elapsed)) + EXPOSURE_SLACK;
 }
 
 /* Calls that the new version should have had so far, by the calls of the old version and the
- * smallest share. */
+ * smallest share. The old version's cold upstreams count: without their calls, a move went through
+ * all stages without evidence on either version. */
 static double
 expected_calls (const KnownCalls *known)
 {
-  return known->old_calls * duration_stages[0].share;
+  return known->old_started * duration_stages[0].share;
 }
 
 /* Whether the stage of a move with a duration is over. Only the evaluators, which know the counts
@@ -1232,9 +1273,9 @@
     }
   ph_log (ctx, PH_LOG_INFO, PH_STEP_MOVE, NULL,
           "%s: evaluation in stage %u at %.2f of the duration: calls of the new version %u, of the "
-          "old one %u, upstreams for each known node %.1f%s",
+          "old one %u, started %u and %u, upstreams for each known node %.1f%s",
           move->path, move->stage, elapsed_fraction (ctx, move), known->new_calls, known->old_calls,
-          known->upstreams_per_row, text);
+          known->new_started, known->old_started, known->upstreams_per_row, text);
 }
 
 /* Sets the bad flag or advances the stage by the evidence known here. Runs on nodes of the new
@@ -1255,6 +1296,8 @@
   collect_old_rows (world, id, &old);
   known = (KnownCalls){ .new_calls = sum_calls (new_counts),
                         .old_calls = sum_calls (old_counts),
+                        .new_started = sum_started_calls (world, id, true),
+                        .old_started = sum_started_calls (world, id, false),
                         .upstreams_per_row = upstreams_per_row (ctx, world, id) };
   if (move->evaluated_at != 0 && ctx->now - move->evaluated_at > PAUSE_MIN)
     set_stage (ctx, move, stage, known.new_calls);
@@ -1299,10 +1342,10 @@
   uint32_t count;
 
   if (own == NULL || ctx->now < move->evidence_sent_at + evidence_interval (move)
-      || sum_calls (own->route_counts) == move->evidence_sent_calls)
+      || own->started_calls + sum_calls (own->route_counts) == move->evidence_sent_calls)
     return;
   move->evidence_sent_at = ctx->now;
-  move->evidence_sent_calls = sum_calls (own->route_counts);
+  move->evidence_sent_calls = own->started_calls + sum_calls (own->route_counts);
   count = find_evaluators (world, move, targets);
   targets[count++] = random_new_version_member (ctx, world, move);
   for (uint32_t i = 0; i < count; i++)
--- a/source/wire/control.c
+++ b/source/wire/control.c
@@ -212,7 +212,8 @@
     return;
   outgoing->evidence = (ph_x_evidence){ .path = (char *)message->evidence->path,
                                         .revision = message->evidence->revision,
-                                        .is_new = message->evidence->is_new_version };
+                                        .is_new = message->evidence->is_new_version,
+                                        .started_calls = message->evidence->started_calls };
   memcpy (outgoing->evidence.counts, message->evidence->route_counts,
           sizeof outgoing->evidence.counts);
   body->evidence = &outgoing->evidence;
@@ -542,6 +543,7 @@
   out->evidence.path = body->evidence->path;
   out->evidence.revision = body->evidence->revision;
   out->evidence.is_new_version = body->evidence->is_new;
+  out->evidence.started_calls = body->evidence->started_calls;
   memcpy (out->evidence.route_counts, body->evidence->counts, sizeof out->evidence.route_counts);
   out->message.evidence = &out->evidence;
   return true;
--- a/source/wire/control.x
+++ b/source/wire/control.x
@@ -87,6 +87,7 @@
   string path<159>;
   unsigned hyper revision;
   bool is_new;
+  unsigned int started_calls;
   unsigned int counts[80];
 };
 
--- a/source/wire/control_xdr.c
+++ b/source/wire/control_xdr.c
@@ -304,15 +304,18 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (1 +  80 )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  80 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_new))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->started_calls))
+				 return FALSE;
 			 if (!xdr_vector (xdrs, (char *)objp->counts, 80,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 		} else {
 			IXDR_PUT_BOOL(buf, objp->is_new);
+			IXDR_PUT_U_LONG(buf, objp->started_calls);
 			{
 				register u_int *genp;
 
@@ -328,15 +331,18 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (1 +  80 )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  80 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_new))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->started_calls))
+				 return FALSE;
 			 if (!xdr_vector (xdrs, (char *)objp->counts, 80,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 		} else {
 			objp->is_new = IXDR_GET_BOOL(buf);
+			objp->started_calls = IXDR_GET_U_LONG(buf);
 			{
 				register u_int *genp;
 
@@ -355,6 +361,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_new))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->started_calls))
+		 return FALSE;
 	 if (!xdr_vector (xdrs, (char *)objp->counts, 80,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/source/wire/control_xdr.h
+++ b/source/wire/control_xdr.h
@@ -89,6 +89,7 @@
 	char *path;
 	u_quad_t revision;
 	bool_t is_new;
+	u_int started_calls;
 	u_int counts[80];
 };
 typedef struct ph_x_evidence ph_x_evidence;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -40,6 +40,7 @@
 static const PhMoveEvidence evidence = { .path = "/teams/a/moves/m",
                                          .revision = 10,
                                          .is_new_version = true,
+                                         .started_calls = 17,
                                          .route_counts = { { 5, 2, { 1, 4 } }, { 9, 8, { 7 } } } };
 static const PhSync digests = { .has_digests = true, .member_digests = { 1, 2 }, .object_mask = 3 };
 
@@ -126,6 +127,7 @@
       CU_ASSERT_EQUAL (decoded.message.moves[0].reason, PH_MOVE_REASON_SLOW);
       CU_ASSERT_EQUAL (decoded.message.moves[0].route_bucket, 7);
       CU_ASSERT_EQUAL (decoded.message.evidence->revision, 10);
+      CU_ASSERT_EQUAL (decoded.message.evidence->started_calls, 17);
       CU_ASSERT_EQUAL (memcmp (decoded.message.evidence->route_counts, evidence.route_counts,
                                sizeof evidence.route_counts),
                        0);
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -287,6 +287,7 @@
   if (bed.now < bed.stalled_until[node])
     latency *= 10;
   latency += ph_random_below (&bed.random, (uint32_t)latency);
+  ph_move_count_start (&bed.ctx[node], bed.worlds[node]);
   ph_move_observe (&bed.ctx[node], bed.worlds[node], route, latency,
                    ph_random_unit (&bed.random) < failure_share);
 }
@@ -622,6 +623,7 @@
 {
   if (observation_count == OBSERVATIONS_MAX)
     abort ();
+  ph_move_count_start (&bed.ctx[node], bed.worlds[node]);
   observations[observation_count++] = (Observation){ .node = node,
                                                      .route = route,
                                                      .latency = latency,
@@ -862,6 +864,7 @@
   request_move ();
   run_seconds (1);
   evidence.route_counts[0].calls = 3;
+  evidence.started_calls = 3;
   for (uint32_t i = 1; i < bed.node_count; i++)
     {
       char name[PH_NAME_MAX];
@@ -915,6 +918,37 @@
   stop_bed ();
 }
 
+/* Guards against an account that misses the calls to cold upstreams, which are no evidence: the
+ * service seemed to have no calls, and the move stepped up. */
+static void
+test_cold_calls_count (void)
+{
+  start_bed (1, 0);
+  for (uint32_t i = 0; i < bed.node_count; i++)
+    {
+      const PhUpstreamOptions upstream = { .service = SERVICE,
+                                           .version = i < bed.new_count ? "v2" : "v1",
+                                           .state = PH_UPSTREAM_COLD,
+                                           .port = 80,
+                                           .slots = 9 };
+
+      ph_upstream_announce (&bed.ctx[i], bed.worlds[i], &upstream, NULL);
+    }
+  request_move ();
+  for (PhTime end = bed.now + REQUESTED_DURATION * 4 / 5; bed.now < end;)
+    {
+      run_tick (NODES_MAX);
+      for (uint32_t i = bed.new_count; i < bed.node_count; i++)
+        {
+          ph_move_count_start (&bed.ctx[i], bed.worlds[i]);
+          ph_move_observe (&bed.ctx[i], bed.worlds[i], 0, AVERAGE_LATENCY, false);
+        }
+    }
+  CU_ASSERT_TRUE (service_at (7)->move_share < BAD_CALLS_MAX_SHARE);
+  CU_ASSERT_EQUAL (find_move (7, PATH)->stage, 0);
+  stop_bed ();
+}
+
 /* Counts log lines at warning. */
 static void
 count_warning (void *user, PhLogLevel level, PhStep step, const char *peer, const char *text)
@@ -1005,6 +1039,7 @@
   { "requested moves while the old version suffers itself", test_suffering_old_versions },
   { "a status in the move's own object does not restart the move", test_own_status },
   { "old counts do not pay for a step", test_old_counts },
+  { "calls to cold upstreams are in the account", test_cold_calls_count },
   { "a change of the slow latency bucket is no evidence", test_change_of_slow_bucket },
   { "a move whose end is reported is not decided again", test_reported_outcomes },
 };
