A request without an id has a connection of its own

Callers could see: calls to an upstream that is cold again at the rate of a warm one. A late copy of a call's response, read as the answer to a health check on the same connection, is a 200 without Cold-Ms. Cause: the connection of a health check was not used after the check, but it had carried calls before it (found in review). Change: a transfer without an id neither takes a kept connection nor leaves one. Health checks cost one connection each, as before; their own rule in probe.c goes. Result: build/unit-tests fetch, row 'no id': asked for the reuse before, which was the fault, and asks for a new connection now: 2 passed, 1 failed on the code before, 3 passed, 0 failed now. tests/e2e/copies.sh: 123 passed, 0 failed. Its nodes get an announcement that does not expire: a review beside load average 27 had 116 passed, 3 failed with 503 no-upstream when the loop of heartbeats was late; that is not what the script is about. Conclusion: every exchange on a connection that is used again has an id.

--- a/source/node/fetch.c
+++ b/source/node/fetch.c
@@ -362,8 +362,7 @@
 may_use_connection (const Transfer *t, const PhConnection *connection)
 {
   bool is_usable = connection != NULL && !connection->is_retired && !has_input (connection);
-  bool is_repeated
-      = is_usable && t->id_hash != 0 && ph_connection_has_carried (connection, t->id_hash);
+  bool is_repeated = is_usable && ph_connection_has_carried (connection, t->id_hash);
 
   ph_count (&t->fetch->node->ctx, PH_COUNT_UNUSABLE_CONNECTIONS, !is_usable);
   ph_count (&t->fetch->node->ctx, PH_COUNT_REPEATED_IDS, is_repeated);
@@ -547,7 +546,9 @@
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, STALL_TIMEOUT_SECONDS);
     }
-  if (opts->has_own_connection)
+  /* On a kept connection, the response to a request without an id could not be told from a second
+   * copy of an earlier one, nor a copy of it from a later one. */
+  if (opts->has_own_connection || opts->id_hash == 0)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
--- a/source/node/fetch.h
+++ b/source/node/fetch.h
@@ -63,7 +63,8 @@
   const char *const *fields;  /* "Name: value" lines, NULL-terminated */
   int64_t body_size;          /* bytes, or PH_BODY_CHUNKED or PH_BODY_NONE */
   const char *body;           /* body_size bytes, copied; NULL when funcs.read supplies the body */
-  uint64_t id_hash;           /* hash of the id that the response repeats; 0 when it has none */
+  uint64_t id_hash;           /* hash of the id that the response repeats; 0 when it has none: the
+                                 request then has a connection of its own */
   PhTime timeout;             /* for the whole transfer; 0 for none; see ph_fetch_start */
   PhTime connect_timeout;     /* 0 for the default of 1 s */
   PhTime connection_idle_max; /* longest idle time of a connection that is reused; 0 for the default
--- a/source/node/probe.c
+++ b/source/node/probe.c
@@ -39,8 +39,6 @@
 
   if (result->is_ok)
     dialect->read_health (dialect->user, node, id, node->probe_status, &health);
-  /* A health check has no id: a second copy of its response could be taken for that of a call. */
-  ph_fetch_retire_connection (node->fetch, id);
   ph_registration_apply_health (&node->ctx, node->world, &health);
   ph_fetch_drop_transfer (node->fetch, id);
   node->probe_transfer.v = 0;
