One odd object leaves the operators' lists readable

Operators' report: another writer's odd entry stopped what reads the list. Operators saw: get, dc and move failed for the whole list ('not a JSON object') while one object in it was nested 5,000 deep, or had a number out of range or a NUL character; apply and delete could not replace it; move status ended in a null pointer for a path without /. Cause: the response was parsed as one value, and the paths of its entries were not checked. Change: each entry is decoded on its own (scan.h), one that cannot be read or is not under the prefix is left out with a warning that names its path. An object that is read alone and is not JSON has its revision, so that it can be replaced or deleted. The path without / is from reading, no test. Conclusion: the stand-in store takes any text with takes_any_text.

--- a/source/client/store.c
+++ b/source/client/store.c
@@ -10,6 +10,7 @@
 #include "pollenhitch/command.h"
 #include "pollenhitch/config.h"
 #include "pollenhitch/fields.h"
+#include "pollenhitch/scan.h"
 
 #define BACKOFF_INITIAL_MS 100
 #define BACKOFF_MAX_MS 5000
@@ -314,34 +315,75 @@
       *object = parse_body (path, &response, err);
       *revision = response.revision;
     }
+  /* An object of another writer that is not JSON can still be replaced or deleted. */
+  if (*object == NULL && *revision != 0)
+    {
+      fprintf (stderr, "warning: %s: the object at revision %" PRIu64 " cannot be read\n", path,
+               *revision);
+      *object = json_null ();
+    }
   clear_response (&response);
   return *object != NULL;
 }
 
+/* Reads one entry of a list. Returns NULL, with a warning, for one that cannot be read or has no
+ * path under the prefix. */
+static json_t *
+load_entry (const char *prefix, PhJsonPart part)
+{
+  json_t *entry = json_loadb (part.text, part.size, 0, NULL);
+  const char *path = json_string_value (json_object_get (entry, "path"));
+  PhJsonPart name = { "", 0 };
+
+  if (path != NULL && strncmp (path, prefix, strlen (prefix)) == 0)
+    return entry;
+  json_decref (entry);
+  ph_json_member (part, "path", &name);
+  fputs ("warning: an object that cannot be read is left out: ", stderr);
+  for (size_t i = 0; i < name.size && i < PH_PATH_MAX; i++)
+    fputc (name.text[i] >= ' ' && name.text[i] <= '~' ? name.text[i] : '?', stderr);
+  fputc ('\n', stderr);
+  return NULL;
+}
+
 bool
 ph_client_store_list (
     PhClientStore *store, const char *prefix, json_t **objects, uint64_t *revision, PhError *err)
 {
   char target[URL_MAX / 2];
   Response response = { 0 };
-  json_t *body = NULL;
+  PhJsonPart body;
+  PhJsonPart part;
+  PhJsonPart entries = { "", 0 };
+  json_t *number = NULL;
+  size_t offset = 0;
 
   *objects = NULL;
   snprintf (target, sizeof target, "/v1/list?prefix=%s", prefix);
-  if (read_with_retries (store, prefix, target, &response, err))
-    body = parse_body (prefix, &response, err);
+  if (!read_with_retries (store, prefix, target, &response, err))
+    {
+      clear_response (&response);
+      return false;
+    }
+  body = (PhJsonPart){ response.body != NULL ? response.body : "", response.size };
+  if (ph_json_member (body, "revision", &part))
+    number = json_loadb (part.text, part.size, JSON_DECODE_ANY, NULL);
+  *revision = (uint64_t)json_integer_value (number);
+  json_decref (number);
+  /* Each entry is decoded on its own, so that one of another writer does not hide the others. */
+  if (ph_json_member (body, "objects", &entries))
+    *objects = json_array ();
+  while (*objects != NULL && ph_json_next_element (entries, &offset, &part))
+    {
+      json_t *entry = load_entry (prefix, part);
+
+      if (entry != NULL)
+        json_array_append_new (*objects, entry);
+    }
   clear_response (&response);
-  if (body == NULL)
-    return false;
-  *objects = json_incref (json_object_get (body, "objects"));
-  *revision = (uint64_t)json_integer_value (json_object_get (body, "revision"));
-  json_decref (body);
-  if (json_is_array (*objects))
-    return true;
-  json_decref (*objects);
-  *objects = NULL;
-  return ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
-                       "%.120s: the store's response has no list of objects", prefix);
+  return *objects != NULL
+         || ph_error_set (err, PH_ERROR_PROTOCOL, PH_STEP_STORE_READ, NULL,
+                          "%.120s: the store's response has no list of objects", prefix);
 }
 
 typedef enum
--- a/tests/e2e/client.sh
+++ b/tests/e2e/client.sh
@@ -162,6 +162,43 @@
 }
 check "dc and apply keep each other's fields" dc_race
 
+# Odd objects of another writer. Guards against one that makes a list unreadable, ends a command, or can
+# neither be replaced nor deleted.
+deep=$(printf '[%.0s' {1..5000})$(printf ']%.0s' {1..5000})
+put_odd () { put_json "$store/v1/objects$1" "$2"; } # PATH TEXT
+control_store '{"takes_any_text":true}'
+odd_count=0
+while IFS='|' read -r name text; do
+  odd_count=$((odd_count + 1))
+  odd=/teams/cascade/services/odd$odd_count
+  put_odd "$odd" "$text"
+  expect "list with $name" 0 "/teams/cascade/data-centres/kamloops" ph get /teams/
+  expect "get of $name" 0 "$odd" ph get "$odd"
+  expect "dc beside $name" 0 "$centre written" ph dc in kamloops
+  expect "dc out beside $name" 0 "$centre written" ph dc out kamloops
+  expect "move status beside $name" 0 "" ph move status
+  if [ $((odd_count % 2)) -eq 0 ]; then
+    expect "apply replaces $name" 0 "$odd written" write_service odd$odd_count '{"queue_ms":1}'
+  else
+    expect "delete of $name" 0 "$odd deleted" ph delete "$odd"
+  fi
+done <<CASES
+an object nested 5,000 deep|{"kind":"service","spec":$deep}
+a second one|{"kind":"service","spec":{"x":$deep}}
+a number over 64 bits|{"kind":"service","spec":{"queue_ms":99999999999999999999}}
+a number out of range|{"kind":"service","spec":{"queue_ms":1e999}}
+a NUL character|{"kind":"service","spec":{"a":"\\u0000"}}
+another type|[1,"a",null]
+wrong types|{"kind":7,"spec":"none"}
+no value|null
+CASES
+put_odd /teams/cascade/moves/odd '{"kind":[],"spec":{"service":7,"from":{},"to":null,"deadline":-1,"cancelled":"x"}}'
+expect "a move of wrong types" 0 "odd" ph move status
+put_odd /status/moves/cascade/odd '{"kind":[],"spec":{"outcome":7,"reason":{}}}'
+expect "a status of wrong types" 0 "odd" ph move status
+ph delete /teams/cascade/moves/odd >/dev/null
+control_store '{"takes_any_text":false}'
+
 # Moves.
 start_move () { ph move start friday --service booking-desk --from 1.0 --to 1.1 --deadline "${1:-2199-01-01T00:00:00Z}" "${@:2}"; }
 expect "deadline in the past" 2 '--deadline: "2020-01-01T00:00:00Z" is not allowed' start_move 2020-01-01T00:00:00Z
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -69,6 +69,7 @@
   int is_down;
   int is_stale;            /* reads are stale */
   int lose_next_responses; /* writes that take effect and get no response */
+  int takes_any_text;      /* objects are not parsed, as if another writer had other rules */
   int latency_ms;          /* delay of each request */
   int port;
   char *address;
@@ -185,7 +186,7 @@
     }
   if (request->body->len > BODY_MAX)
     return ph_server_reply (connection, 413, "over 1 MB\n");
-  if (request->kind == KIND_PUT)
+  if (request->kind == KIND_PUT && !store.takes_any_text)
     {
       json_t *value = json_loadb (request->body->str, request->body->len, 0, NULL);
       bool is_object = json_is_object (value);
@@ -340,9 +341,9 @@
 }
 
 /* Serves GET /control/stats, and applies the JSON object of PUT /control. Its fields: down (bool),
- * latency_ms (delay of each request), lose_next_responses (number of writes that take effect and
- * get no response), stale_reads (bool: reads return the state at the time of this request),
- * forget_history (true: watches cannot start from earlier revisions). */
+ * takes_any_text (bool), latency_ms (delay of each request), lose_next_responses (number of writes
+ * that take effect and get no response), stale_reads (bool: reads return the state at the time of
+ * this request), forget_history (true: watches cannot start from earlier revisions). */
 static enum MHD_Result
 reply_control (Request *request)
 {
@@ -361,9 +362,10 @@
     }
   object = json_loadb (request->body->str, request->body->len, 0, NULL);
   if (object == NULL
-      || json_unpack (object, "{s?b,s?i,s?i,s?b,s?b !}", "down", &store.is_down, "latency_ms",
+      || json_unpack (object, "{s?b,s?i,s?i,s?b,s?b,s?b !}", "down", &store.is_down, "latency_ms",
                       &store.latency_ms, "lose_next_responses", &store.lose_next_responses,
-                      "stale_reads", &store.is_stale, "forget_history", &forget_history)
+                      "takes_any_text", &store.takes_any_text, "stale_reads", &store.is_stale,
+                      "forget_history", &forget_history)
              != 0)
     {
       json_decref (object);
