A body that breaks off is no complete one for a caller of HTTP/1.0

Callers saw: status 200 and a short body, without an error, when a chunked response broke off and the caller used HTTP/1.0. Cause: libmicrohttpd sends such a body up to the end of the connection, and shuts the connection down in the ordinary way also after an error of the content reader. Change: when a response without a length breaks off, the connection is reset (connect to AF_UNSPEC; SO_LINGER comes after the FIN).

--- a/source/node/front.c
+++ b/source/node/front.c
@@ -46,6 +46,16 @@
   MHD_suspend_connection (exchange->connection);
 }
 
+/* Ends a response whose body broke off. Without a length its end may be that of the connection,
+ * which passes as complete for a caller of HTTP/1.0 unless the connection is reset. */
+static ssize_t
+end_with_error (PhExchange *exchange, int64_t length)
+{
+  if (length < 0)
+    ph_listener_reset (exchange->connection);
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
 /* Content reader of libmicrohttpd: copies response bytes of the winning forward into buffer. */
 static ssize_t
 read_response (void *user, uint64_t position, char *buffer, size_t max)
@@ -58,7 +68,7 @@
 
   (void)position;
   if (forward == NULL)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+    return end_with_error (exchange, -1);
   count = ph_fetch_read (fetch, forward->transfer, buffer, max);
   if (count > 0)
     return (ssize_t)count;
@@ -67,8 +77,9 @@
       suspend_exchange (exchange);
       return 0;
     }
-  return exchange->is_response_complete ? MHD_CONTENT_READER_END_OF_STREAM
-                                        : MHD_CONTENT_READER_END_WITH_ERROR;
+  return exchange->is_response_complete
+             ? MHD_CONTENT_READER_END_OF_STREAM
+             : end_with_error (exchange, ph_fetch_length (fetch, forward->transfer));
 }
 
 /* Adds the fields that the node sets itself: towards a caller those of the dialect, towards
--- a/source/node/listener.c
+++ b/source/node/listener.c
@@ -114,6 +114,19 @@
   listener->is_pending = true;
 }
 
+void
+ph_listener_reset (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  /* Linux resets a TCP connection that is dissolved. SO_LINGER does not help: libmicrohttpd shuts
+   * the sending direction down before it closes the socket. */
+  if (info != NULL)
+    (void)connect (info->connect_fd, &none, sizeof none);
+}
+
 bool
 ph_listener_system (PhListener *listener)
 {
--- a/source/node/listener.h
+++ b/source/node/listener.h
@@ -48,6 +48,10 @@
 /* ph_listener_resume: resume a suspended connection; ph_listener_system serves it in this tick. */
 void ph_listener_resume (PhListener *listener, struct MHD_Connection *connection);
 
+/* ph_listener_reset: reset a connection, so that what was sent on it does not pass as complete. The
+ * server closes it afterwards. */
+void ph_listener_reset (struct MHD_Connection *connection);
+
 /* ph_listener_system: run the daemon if connections were resumed. Returns true when it ran. */
 bool ph_listener_system (PhListener *listener);
 
