The debug line of a response names a VM that is not known

Cause: read-through; ph_trace_peer returns NULL for a VM that is not known, which was printed with %s. Change: the line says 'an unknown VM'. It is written at debug only.

--- a/source/node/dispatch.c
+++ b/source/node/dispatch.c
@@ -212,6 +212,7 @@
 log_response (PhForward *forward, const PhExchange *exchange, const PhAttempt *attempt, int status)
 {
   PhNode *node = forward->dispatch->node;
+  const char *peer = attempt != NULL ? ph_trace_peer (node->world, attempt) : NULL;
   PhTransferTrace trace;
   char id[PH_CALL_ID_TEXT_SIZE];
 
@@ -221,9 +222,8 @@
   ph_call_id_format (exchange->call_id, id);
   ph_log (&node->ctx, PH_LOG_DEBUG, PH_STEP_RESPONSE, id,
           "response of %s: status %d, connection %llu, request %u on it, %lld us after the send",
-          attempt != NULL ? ph_trace_peer (node->world, attempt) : "", status,
-          (unsigned long long)trace.connection, trace.request_number,
-          (long long)(node->ctx.now - trace.sent_at));
+          peer != NULL ? peer : "an unknown VM", status, (unsigned long long)trace.connection,
+          trace.request_number, (long long)(node->ctx.now - trace.sent_at));
 }
 
 /* The head of a response has been received: selects the response for the caller, or fails the
