--- a/source/core/move.c
+++ b/source/core/move.c
@@ -700,10 +700,101 @@
   return *reason == PH_MOVE_REASON_NONE ? PH_MOVE_OPEN : PH_MOVE_ROLLED_BACK;
 }
 
+/* The node of an upstream if the upstream is of the new version, otherwise 0. */
+static PhMemberId
+new_version_member (const PhWorld *world, const PhMove *move, PhUpstreamId id)
+{
+  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, id);
+
+  if (strcmp (upstream->version, move->spec.to_version) != 0)
+    return (PhMemberId){ 0 };
+  return upstream->is_local ? world->membership.self : upstream->member;
+}
+
+static uint64_t
+evaluator_score (const PhWorld *world, const PhMove *move, PhMemberId id)
+{
+  const PhMember *member = ph_member_get (&world->members, id);
+
+  return member != NULL ? ph_hash_mix (member->name_hash, move->path_hash) : 0;
+}
+
+/* Finds the nodes of the new version with the highest scores by rendezvous hash, in order, at most
+ * EVALUATORS_MAX. Returns their number. */
+static uint32_t
+find_evaluators (const PhWorld *world, const PhMove *move, PhMemberId *evaluators)
+{
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; service != NULL && i < service->upstream_count; i++)
+    {
+      PhMemberId id = new_version_member (world, move, service->upstreams[i]);
+      uint32_t rank = count;
+
+      if (ph_member_get (&world->members, id) == NULL)
+        continue;
+      while (rank > 0
+             && evaluator_score (world, move, evaluators[rank - 1])
+                    < evaluator_score (world, move, id))
+        rank--;
+      if (rank == EVALUATORS_MAX)
+        continue;
+      if (count < EVALUATORS_MAX)
+        count++;
+      memmove (&evaluators[rank + 1], &evaluators[rank], (count - rank - 1) * sizeof *evaluators);
+      evaluators[rank] = id;
+    }
+  return count;
+}
+
+/* Whether ids[index] also appears before index. */
+static bool
+appears_before (const PhMemberId *ids, uint32_t index)
+{
+  for (uint32_t i = 0; i < index; i++)
+    if (ids[i].v == ids[index].v)
+      return true;
+  return false;
+}
+
+/* A random other node of the new version, or 0. */
+static PhMemberId
+random_new_version_member (PhContext *ctx, const PhWorld *world, const PhMove *move)
+{
+  const PhService *service
+      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
+  uint32_t count = service != NULL ? service->upstream_count : 0;
+  uint32_t start = ph_random_below (&ctx->random, count);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      PhMemberId id = new_version_member (world, move, service->upstreams[(start + i) % count]);
+
+      if (id.v != 0 && id.v != world->membership.self.v)
+        return id;
+    }
+  return (PhMemberId){ 0 };
+}
+
+static bool
+is_evaluator (const PhWorld *world, const PhMove *move)
+{
+  PhMemberId evaluators[EVALUATORS_MAX + 1];
+  uint32_t count = find_evaluators (world, move, evaluators);
+
+  evaluators[count] = world->membership.self;
+  return appears_before (evaluators, count);
+}
+
+/* The threshold of the tests at this node. A node that is not an evaluator has some of the counts
+ * only, and many such nodes test the same version. */
 static double
-alarm_threshold (const PhMove *move)
+alarm_threshold (const PhWorld *world, const PhMove *move)
 {
-  return move->spec.duration != 0 ? ALARM_THRESHOLD_DURATION : ALARM_THRESHOLD;
+  return move->spec.duration != 0 && is_evaluator (world, move) ? ALARM_THRESHOLD_DURATION
+                                                                : ALARM_THRESHOLD;
 }
 
 /* Adds the calls since the last evaluation to a test. calls and bad_calls are totals of the new
@@ -907,7 +998,7 @@
 
   ratios->failures += update_cusum (failures, new_counts->calls, new_counts->failures,
                                     (old_counts->failures + 1) / weight, 0.05);
-  if (failures->sum >= alarm_threshold (move))
+  if (failures->sum >= alarm_threshold (world, move))
     decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, route_bucket);
   if (old_counts->calls < CONTROL_CALLS_MIN || move->is_bad)
     return;
@@ -915,20 +1006,20 @@
   slow_rate = fmax ((control.slow_calls + 1) / (control.calls + PRIOR_CALLS), SLOW_RATE_MIN);
   ratios->slow += update_cusum (slow, new_counts->calls, count_above (new_counts, control.bucket),
                                 slow_rate, 0.2);
-  if (slow->sum >= alarm_threshold (move))
+  if (slow->sum >= alarm_threshold (world, move))
     decide_bad (ctx, move, PH_MOVE_REASON_SLOW, route_bucket);
 }
 
 /* Adds the ratios of one evaluation to the sums over all route buckets: a version that is bad on
  * each of several routes shows in them before it does on one. */
 static void
-evaluate_all_routes (PhContext *ctx, PhMove *move, const Ratios *ratios)
+evaluate_all_routes (PhContext *ctx, const PhWorld *world, PhMove *move, const Ratios *ratios)
 {
   move->failure_sum = fmax (move->failure_sum + ratios->failures, 0);
   move->slow_sum = fmax (move->slow_sum + ratios->slow, 0);
-  if (move->failure_sum >= alarm_threshold (move))
+  if (move->failure_sum >= alarm_threshold (world, move))
     decide_bad (ctx, move, PH_MOVE_REASON_FAILURES, ALL_ROUTE_BUCKETS);
-  else if (move->slow_sum >= alarm_threshold (move))
+  else if (move->slow_sum >= alarm_threshold (world, move))
     decide_bad (ctx, move, PH_MOVE_REASON_SLOW, ALL_ROUTE_BUCKETS);
 }
 
@@ -953,9 +1044,9 @@
 
 /* Whether some test is more than halfway to its alarm threshold. */
 static bool
-is_suspect (const PhMove *move)
+is_suspect (const PhWorld *world, const PhMove *move)
 {
-  return highest_sum (move) > alarm_threshold (move) / 2;
+  return highest_sum (move) > alarm_threshold (world, move) / 2;
 }
 
 /* Least time that a stage lasts. */
@@ -968,94 +1059,6 @@
   return total / STAGE_TIME_DIVISOR;
 }
 
-/* The node of an upstream if the upstream is of the new version, otherwise 0. */
-static PhMemberId
-new_version_member (const PhWorld *world, const PhMove *move, PhUpstreamId id)
-{
-  const PhUpstream *upstream = ph_upstream_get (&world->upstreams, id);
-
-  if (strcmp (upstream->version, move->spec.to_version) != 0)
-    return (PhMemberId){ 0 };
-  return upstream->is_local ? world->membership.self : upstream->member;
-}
-
-static uint64_t
-evaluator_score (const PhWorld *world, const PhMove *move, PhMemberId id)
-{
-  const PhMember *member = ph_member_get (&world->members, id);
-
-  return member != NULL ? ph_hash_mix (member->name_hash, move->path_hash) : 0;
-}
-
-/* Finds the nodes of the new version with the highest scores by rendezvous hash, in order, at most
- * EVALUATORS_MAX. Returns their number. */
-static uint32_t
-find_evaluators (const PhWorld *world, const PhMove *move, PhMemberId *evaluators)
-{
-  const PhService *service
-      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; service != NULL && i < service->upstream_count; i++)
-    {
-      PhMemberId id = new_version_member (world, move, service->upstreams[i]);
-      uint32_t rank = count;
-
-      if (ph_member_get (&world->members, id) == NULL)
-        continue;
-      while (rank > 0
-             && evaluator_score (world, move, evaluators[rank - 1])
-                    < evaluator_score (world, move, id))
-        rank--;
-      if (rank == EVALUATORS_MAX)
-        continue;
-      if (count < EVALUATORS_MAX)
-        count++;
-      memmove (&evaluators[rank + 1], &evaluators[rank], (count - rank - 1) * sizeof *evaluators);
-      evaluators[rank] = id;
-    }
-  return count;
-}
-
-/* Whether ids[index] also appears before index. */
-static bool
-appears_before (const PhMemberId *ids, uint32_t index)
-{
-  for (uint32_t i = 0; i < index; i++)
-    if (ids[i].v == ids[index].v)
-      return true;
-  return false;
-}
-
-/* A random other node of the new version, or 0. */
-static PhMemberId
-random_new_version_member (PhContext *ctx, const PhWorld *world, const PhMove *move)
-{
-  const PhService *service
-      = ph_service_get (&world->services, ph_service_find (world, move->spec.service));
-  uint32_t count = service != NULL ? service->upstream_count : 0;
-  uint32_t start = ph_random_below (&ctx->random, count);
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      PhMemberId id = new_version_member (world, move, service->upstreams[(start + i) % count]);
-
-      if (id.v != 0 && id.v != world->membership.self.v)
-        return id;
-    }
-  return (PhMemberId){ 0 };
-}
-
-static bool
-is_evaluator (const PhWorld *world, const PhMove *move)
-{
-  PhMemberId evaluators[EVALUATORS_MAX + 1];
-  uint32_t count = find_evaluators (world, move, evaluators);
-
-  evaluators[count] = world->membership.self;
-  return appears_before (evaluators, count);
-}
-
 /* Fraction of its duration that has passed since the move was learned. */
 static double
 elapsed_fraction (const PhContext *ctx, const PhMove *move)
@@ -1236,11 +1239,11 @@
   for (uint32_t i = 0; i < PH_MOVE_ROUTE_BUCKETS && !move->is_bad; i++)
     evaluate_route_bucket (ctx, world, id, &old, i, &old_counts[i], &new_counts[i], &ratios);
   if (!move->is_bad)
-    evaluate_all_routes (ctx, move, &ratios);
+    evaluate_all_routes (ctx, world, move, &ratios);
   if (!move->is_bad && move->spec.duration != 0 && elapsed_fraction (ctx, move) >= LAST_STAGE_END
-      && is_doubtful (move))
+      && is_evaluator (world, move) && is_doubtful (move))
     decide_bad (ctx, move, PH_MOVE_REASON_DEADLINE, ALL_ROUTE_BUCKETS);
-  if (!move->is_bad && is_stage_over (ctx, world, move, &known) && !is_suspect (move))
+  if (!move->is_bad && is_stage_over (ctx, world, move, &known) && !is_suspect (world, move))
     set_stage (ctx, move, next_stage (ctx, move), known.new_calls);
   if (move->spec.duration != 0
       && (move->is_bad || move->stage != stage || ctx->now >= move->logged_at + LOG_INTERVAL))
