--- a/include/pollenhitch/move.h
+++ b/include/pollenhitch/move.h
@@ -133,6 +133,8 @@
   uint32_t evidence_sent_calls; /* calls in own_evidence at that time */
   PhMoveCusum failure_cusums[PH_MOVE_ROUTE_BUCKETS];
   PhMoveCusum slow_cusums[PH_MOVE_ROUTE_BUCKETS];
+  /* Counts of the new version that slow_cusums include. */
+  PhMoveCounts slow_tested[PH_MOVE_ROUTE_BUCKETS];
   double failure_sum; /* as the sums of failure_cusums, over all route buckets */
   double slow_sum;
   /* Last call of the local upstream that was slower than most and was counted. */
--- a/source/core/move.c
+++ b/source/core/move.c
@@ -1004,8 +1004,12 @@
     return;
   measure_slow_control (old, route_bucket, old_counts, &control);
   slow_rate = fmax ((control.slow_calls + 1) / (control.calls + PRIOR_CALLS), SLOW_RATE_MIN);
+  /* The bucket may have changed since the last evaluation; earlier calls between the two buckets
+   * are not new slow calls. */
+  slow->bad_call_count = count_above (&move->slow_tested[route_bucket], control.bucket);
   ratios->slow += update_cusum (slow, new_counts->calls, count_above (new_counts, control.bucket),
                                 slow_rate, 0.2);
+  move->slow_tested[route_bucket] = *new_counts;
   if (slow->sum >= alarm_threshold (world, move))
     decide_bad (ctx, move, PH_MOVE_REASON_SLOW, route_bucket);
 }
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -876,6 +876,45 @@
   stop_bed ();
 }
 
+/* Sets the counts of all nodes on one route at node 0: by version, calls in the latency buckets 4
+ * and 5. */
+static void
+merge_counts_at_node_0 (const uint32_t buckets[2][2])
+{
+  for (uint32_t i = 1; i < bed.node_count; i++)
+    {
+      bool is_new = i < bed.new_count;
+      PhMoveEvidence evidence = { .path = PATH, .revision = 1, .is_new_version = is_new };
+      PhMoveCounts *counts = &evidence.route_counts[0];
+      char name[PH_NAME_MAX];
+
+      snprintf (name, sizeof name, "vm-%u", i);
+      counts->latency_buckets[4] = buckets[is_new][0];
+      counts->latency_buckets[5] = buckets[is_new][1];
+      counts->calls = buckets[is_new][0] + buckets[is_new][1];
+      ph_move_merge_evidence (&bed.ctx[0], bed.worlds[0], ph_member_find (bed.worlds[0], name),
+                              &evidence);
+    }
+}
+
+/* Guards against a version that is taken back as slow when the latency above which calls are slow
+ * changes: calls of earlier evaluations were taken for new slow calls (fleetbench chre-mesh-grown,
+ * deploy/days/version-turns-bad.toml: taken back with 19 slow calls of 202, 37 of 359 of the old
+ * version). */
+static void
+test_change_of_slow_bucket (void)
+{
+  start_bed (1, 100);
+  request_move ();
+  run_seconds (1);
+  merge_counts_at_node_0 ((const uint32_t[2][2]){ { 70, 30 }, { 70, 30 } });
+  run_seconds (1);
+  merge_counts_at_node_0 ((const uint32_t[2][2]){ { 1070, 30 }, { 80, 30 } });
+  run_seconds (1);
+  CU_ASSERT_FALSE (find_move (0, PATH)->is_bad);
+  stop_bed ();
+}
+
 /* Counts log lines at warning. */
 static void
 count_warning (void *user, PhLogLevel level, PhStep step, const char *peer, const char *text)
@@ -966,6 +1005,7 @@
   { "requested moves while the old version suffers itself", test_suffering_old_versions },
   { "a status in the move's own object does not restart the move", test_own_status },
   { "old counts do not pay for a step", test_old_counts },
+  { "a change of the slow latency bucket is no evidence", test_change_of_slow_bucket },
   { "a move whose end is reported is not decided again", test_reported_outcomes },
 };
 PH_TEST_SUITE (move, tests)
