--- a/include/pollenhitch/retry.h
+++ b/include/pollenhitch/retry.h
@@ -42,7 +42,8 @@
 typedef struct
 {
   /* A token is counted as 1000 in these fields, so that a call can add a fraction of one. */
-  uint32_t capacity; /* of each bucket except redirect_tokens */
+  uint32_t capacity;       /* of each bucket except redirect_tokens */
+  uint32_t fleet_attempts; /* see ph_retry_bound_fleet; 0 for the default */
   uint32_t attempt_tokens;
   uint32_t rerun_tokens;
   uint32_t hedge_tokens;
@@ -56,6 +57,16 @@
 /* ph_retry_reset: fill all buckets, so that the first calls of a new service can be retried. */
 void ph_retry_reset (PhRetryBudget *budget);
 
+/*
+ * ph_retry_bound_fleet: bound the attempts that the full buckets of all nodes allow together,
+ * beside the share of the calls.
+ *
+ * Empties all buckets except that for redirects: with full ones, each node that starts would add
+ * its attempts to those that the others have spent. The bound holds for up to this many nodes;
+ * above, each node has one attempt.
+ */
+void ph_retry_bound_fleet (PhRetryBudget *budget, uint32_t attempts);
+
 /* ph_retry_set_node_count: set the number of nodes that have a budget for the service, which bounds
  * the capacity of each. */
 void ph_retry_set_node_count (PhRetryBudget *budget, uint32_t node_count);
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -82,6 +82,7 @@
   void *adapt_limit_user;
   bool keeps_limit_on_errors; /* see PhAdmissionPolicy */
   double shed_floor_fraction; /* see PhAdmissionPolicy */
+  uint32_t fleet_attempts;    /* see ph_retry_bound_fleet; 0 for the default */
   PhChooseFunc choose;        /* chooses an upstream; NULL for ph_choose_power_of_two */
   void *choose_user;
 } PhWorldOptions;
@@ -132,6 +133,7 @@
   uint32_t route_generation; /* incremented with each set of routes */
   bool has_routes;           /* a set of routes is in force */
   PhCallerLimits caller_limits;
+  uint32_t fleet_attempts;                  /* of PhWorldOptions */
   PhTime announce_ttl;                      /* lifetime of the local upstream's announcement */
   uint64_t object_digests[PH_SYNC_BUCKETS]; /* digest of the objects in each bucket, see sync.h */
   uint32_t traced_limit;                    /* limit in the last limit-changed event */
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -229,6 +229,15 @@
   memcpy (id, parts, PH_CALL_ID_SIZE);
 }
 
+/* Number of nodes that share the budgets. A node on the other side of a partition counts as dead
+ * here and still retries there. */
+static uint32_t
+budget_node_count (const PhWorld *world)
+{
+  return world->membership.live_count
+         + (world->fleet_attempts != 0 ? world->membership.dead_count : 0);
+}
+
 static PhCallId
 refuse_at_open (PhContext *ctx, PhRefusal *refusal, PhReason reason)
 {
@@ -279,7 +288,7 @@
     call->pinned_upstream = world->admission.upstream;
   else if (!opts->is_rerun)
     {
-      ph_retry_set_node_count (&service->retry, world->membership.live_count);
+      ph_retry_set_node_count (&service->retry, budget_node_count (world));
       ph_retry_deposit (&service->retry, service->rules.retry_percent, service->rules.hedge_percent,
                         opts->depth);
     }
--- a/source/core/retry.c
+++ b/source/core/retry.c
@@ -56,13 +56,34 @@
 }
 
 void
-ph_retry_set_node_count (PhRetryBudget *budget, uint32_t node_count)
+ph_retry_bound_fleet (PhRetryBudget *budget, uint32_t attempts)
 {
-  uint32_t attempts
-      = min_u32 (FLEET_ATTEMPTS_MAX / (node_count > 0 ? node_count : 1), BUCKET_ATTEMPTS_MAX);
+  budget->fleet_attempts = attempts;
+  budget->attempt_tokens = 0;
+  budget->rerun_tokens = 0;
+  budget->hedge_tokens = 0;
+}
 
-  budget->capacity
-      = (attempts > BUCKET_ATTEMPTS_MIN ? attempts : BUCKET_ATTEMPTS_MIN) * TOKENS_PER_ATTEMPT;
+/* Tokens in a full bucket on each of node_count nodes. */
+static uint32_t
+bucket_capacity (const PhRetryBudget *budget, uint32_t node_count)
+{
+  uint32_t max = BUCKET_ATTEMPTS_MAX * TOKENS_PER_ATTEMPT;
+  uint32_t min = BUCKET_ATTEMPTS_MIN * TOKENS_PER_ATTEMPT;
+  uint32_t tokens = FLEET_ATTEMPTS_MAX / node_count * TOKENS_PER_ATTEMPT;
+
+  if (budget->fleet_attempts != 0)
+    {
+      min = TOKENS_PER_ATTEMPT;
+      tokens = budget->fleet_attempts * TOKENS_PER_ATTEMPT / node_count;
+    }
+  return tokens > min ? min_u32 (tokens, max) : min;
+}
+
+void
+ph_retry_set_node_count (PhRetryBudget *budget, uint32_t node_count)
+{
+  budget->capacity = bucket_capacity (budget, node_count > 0 ? node_count : 1);
   budget->attempt_tokens = min_u32 (budget->attempt_tokens, budget->capacity);
   budget->rerun_tokens = min_u32 (budget->rerun_tokens, budget->capacity);
   budget->hedge_tokens = min_u32 (budget->hedge_tokens, budget->capacity);
@@ -87,10 +108,13 @@
 static uint32_t
 hedge_reserve (const PhRetryBudget *budget)
 {
-  return budget->capacity
-         / (budget->capacity < BUCKET_ATTEMPTS_MAX * TOKENS_PER_ATTEMPT
-                ? SMALL_HEDGE_RESERVE_DIVISOR
-                : HEDGE_RESERVE_DIVISOR);
+  uint32_t reserve
+      = budget->capacity
+        / (budget->capacity < BUCKET_ATTEMPTS_MAX * TOKENS_PER_ATTEMPT ? SMALL_HEDGE_RESERVE_DIVISOR
+                                                                       : HEDGE_RESERVE_DIVISOR);
+
+  /* In a bucket of little more than one attempt, a larger reserve would allow no hedge. */
+  return min_u32 (reserve, (budget->capacity - TOKENS_PER_ATTEMPT) / 2);
 }
 
 bool
--- a/source/core/upstream.c
+++ b/source/core/upstream.c
@@ -88,6 +88,8 @@
   service->name_hash = ph_hash (name);
   ph_service_rules_default (&service->rules);
   ph_retry_reset (&service->retry);
+  if (world->fleet_attempts != 0)
+    ph_retry_bound_fleet (&service->retry, world->fleet_attempts);
   service->choice_count = (uint32_t)ph_random_next (&ctx->random);
   ph_index_add (&world->service_index, service->name_hash, id.v);
   return id;
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -121,6 +121,7 @@
   world->choose = opts->choose != NULL ? opts->choose : ph_choose_power_of_two;
   world->choose_user = opts->choose_user;
   world->epoch = opts->epoch;
+  world->fleet_attempts = opts->fleet_attempts;
   world->announce_ttl = opts->announce_ttl != 0 ? opts->announce_ttl : PH_ANNOUNCE_TTL;
   ph_text_copy (world->registration.service, sizeof world->registration.service,
                 or_empty (opts->service));
--- a/source/node/node.c
+++ b/source/node/node.c
@@ -257,6 +257,7 @@
                           .adapt_limit = adapter->adapt_limit,
                           .keeps_limit_on_errors = adapter->keeps_limit_on_errors,
                           .shed_floor_fraction = adapter->shed_floor_fraction,
+                          .fleet_attempts = adapter->fleet_attempts,
                           .decode = adapter->decode != NULL ? adapter->decode : ph_object_decode,
                           .decode_user = adapter->decode_user };
 
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -75,6 +75,7 @@
   PhLimitFunc adapt_limit;    /* adapts the concurrency limit of the local upstream */
   bool keeps_limit_on_errors; /* see PhAdmissionPolicy */
   double shed_floor_fraction; /* see PhAdmissionPolicy */
+  uint32_t fleet_attempts;    /* see ph_retry_bound_fleet */
   const char *const *regions; /* pairs of data centre and region names, NULL-terminated */
   const char *service;        /* service of the local upstream, as "team/service" */
 } PhAdapter;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -970,6 +970,46 @@
   fixture_stop (&s.fixture);
 }
 
+typedef struct
+{
+  uint32_t fleet_attempts; /* of the world */
+  uint32_t live_count, dead_count;
+  uint32_t capacity; /* tokens of a full bucket */
+} CapacityCase;
+
+/* Guards against extra attempts of all nodes that add up to more than the bound: the nodes on the
+ * two sides of a partition count each other as dead, and both retry. */
+static void
+test_budget_capacity (void)
+{
+  static const CapacityCase cases[] = {
+    { 28, 9, 0, 3111 },    { 28, 6, 3, 3111 },   { 28, 3, 6, 3111 }, { 28, 1, 0, 10000 },
+    { 215, 195, 0, 1102 }, { 28, 195, 0, 1000 }, { 0, 9, 0, 6000 },  { 0, 3, 6, 10000 },
+  };
+
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (cases); i++)
+    {
+      Script s;
+      PhMembership *ms;
+      uint32_t live_count;
+
+      start_script (&s);
+      ms = &s.fixture.world->membership;
+      live_count = ms->live_count;
+      s.fixture.world->fleet_attempts = cases[i].fleet_attempts;
+      if (cases[i].fleet_attempts != 0)
+        ph_retry_bound_fleet (&fixture_service (&s.fixture)->retry, cases[i].fleet_attempts);
+      ms->live_count = cases[i].live_count;
+      ms->dead_count = cases[i].dead_count;
+      ph_call_abort (&s.fixture.ctx, s.fixture.world,
+                     open_script_call (&s, &(PhCallOptions){ .service = FIXTURE_SERVICE }));
+      CU_ASSERT_EQUAL (fixture_service (&s.fixture)->retry.capacity, cases[i].capacity);
+      ms->live_count = live_count;
+      ms->dead_count = 0;
+      fixture_stop (&s.fixture);
+    }
+}
+
 /* Guards against refusals that use up the retries, and calls that are refused although the rest of
  * the system is healthy. A data centre is taken out of service, but this node does not know it
  * yet: each of the two upstreams there refuses once. */
@@ -1077,6 +1117,7 @@
   { "responses past the deadline", test_stalls },
   { "queued attempts whose request body was discarded", test_discarded_body },
   { "aborted calls in the queue of pending calls", test_stale_pending },
+  { "capacity of the retry budget", test_budget_capacity },
   { "data centre out of service, not yet known here", test_unknown_outage },
   { "share of an upstream that fails fast", test_fast_failures },
 };
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "platform.h"
 #include "pollenhitch/call.h"
 #include "pollenhitch/retry.h"
 #include "test.h"
@@ -168,6 +169,121 @@
   CU_ASSERT_TRUE (chain.bottom_runs < bound * CALLS + 10 * (PH_DEPTH_MAX + 1));
 }
 
+typedef struct
+{
+  const char *name;
+  uint32_t node_count;
+  uint32_t extra_arrivals;  /* that the platform allows beside a fifth of the requests */
+  uint32_t calls_per_node;  /* of the upper service, within the window */
+  uint32_t restarted_count; /* nodes that start again in the middle of the window */
+  PhRetryKind kind;         /* of the extra attempts at the upper service */
+} FleetCase;
+
+/* Guards against more extra arrivals at a service than all nodes together may cause, when another
+ * service that calls it repeats requests: each run of a repeated request makes its call again
+ * (fleetbench chre-mesh upstreams-shed --seed 1: 276 arrivals, 266 allowed). */
+static const FleetCase fleet_cases[] = {
+  { "nine nodes, refused", 9, 56, 130, 0, PH_RETRY_NOT_RUN },
+  { "nine nodes, hedged", 9, 56, 130, 0, PH_RETRY_HEDGE },
+  { "nine nodes, run before", 9, 56, 130, 0, PH_RETRY_RERUN },
+  { "nine nodes, few calls", 9, 56, 5, 0, PH_RETRY_NOT_RUN },
+  { "nine nodes, all start again", 9, 56, 130, 9, PH_RETRY_NOT_RUN },
+  { "ten nodes", 10, 58, 130, 0, PH_RETRY_NOT_RUN },
+  { "ten nodes, two start again", 10, 58, 40, 2, PH_RETRY_NOT_RUN },
+  { "58 nodes", 58, 156, 100, 0, PH_RETRY_NOT_RUN },
+  { "58 nodes, all start again, few calls", 58, 156, 4, 58, PH_RETRY_NOT_RUN },
+  { "88 nodes, few calls", 88, 216, 3, 0, PH_RETRY_NOT_RUN },
+  { "195 nodes, 30 start again", 195, 430, 50, 30, PH_RETRY_NOT_RUN },
+  { "195 nodes, few calls, hedged", 195, 430, 2, 0, PH_RETRY_HEDGE },
+};
+
+#define FLEET_PERCENT 9 /* default of --retry-percent on the platform */
+#define FLEET_HEDGE_PERCENT 8
+
+/* Two services, of which the upper one calls the lower one once in each run, and as many extra
+ * attempts at both as the budgets allow. */
+typedef struct
+{
+  const FleetCase *c;
+  PhRetryBudget *upper, *lower; /* budgets of each node */
+  uint32_t requests, repeats;   /* at the lower service */
+} Fleet;
+
+static void
+start_fleet_node (Fleet *fleet, uint32_t node)
+{
+  PhRetryBudget *budgets[] = { &fleet->upper[node], &fleet->lower[node] };
+
+  for (int i = 0; i < 2; i++)
+    {
+      ph_retry_reset (budgets[i]);
+      ph_retry_bound_fleet (budgets[i], fleet->c->extra_arrivals / PLATFORM_LAYERS);
+      ph_retry_set_node_count (budgets[i], fleet->c->node_count);
+    }
+}
+
+static void
+call_lower (Fleet *fleet, uint32_t node, bool is_repeat)
+{
+  PhRetryBudget *budget = &fleet->lower[node % fleet->c->node_count];
+
+  if (is_repeat)
+    fleet->repeats++;
+  else
+    fleet->requests++;
+  ph_retry_deposit (budget, FLEET_PERCENT, FLEET_HEDGE_PERCENT, 0);
+  fleet->repeats += ph_retry_withdraw (budget, PH_RETRY_NOT_RUN);
+}
+
+static void
+run_fleet (Fleet *fleet, uint32_t calls_per_node)
+{
+  for (uint32_t call = 0; call < calls_per_node; call++)
+    for (uint32_t node = 0; node < fleet->c->node_count; node++)
+      {
+        ph_retry_deposit (&fleet->upper[node], FLEET_PERCENT, FLEET_HEDGE_PERCENT, 0);
+        call_lower (fleet, node + call, false);
+        while (ph_retry_withdraw (&fleet->upper[node], fleet->c->kind))
+          call_lower (fleet, node + call + 1, true);
+      }
+}
+
+static void
+test_fleet (void)
+{
+  for (uint32_t i = 0; i < PH_ARRAY_SIZE (fleet_cases); i++)
+    {
+      const FleetCase *c = &fleet_cases[i];
+      Fleet fleet = { .c = c,
+                      .upper = calloc (c->node_count, sizeof *fleet.upper),
+                      .lower = calloc (c->node_count, sizeof *fleet.lower) };
+      uint32_t allowed;
+
+      for (uint32_t node = 0; node < c->node_count; node++)
+        {
+          start_fleet_node (&fleet, node);
+          for (uint32_t call = 0; call < 1000; call++) /* full buckets before the window */
+            {
+              ph_retry_deposit (&fleet.upper[node], FLEET_PERCENT, FLEET_HEDGE_PERCENT, 0);
+              ph_retry_deposit (&fleet.lower[node], FLEET_PERCENT, FLEET_HEDGE_PERCENT, 0);
+            }
+        }
+      run_fleet (&fleet, c->calls_per_node / 2);
+      for (uint32_t node = 0; node < c->restarted_count; node++)
+        start_fleet_node (&fleet, node);
+      run_fleet (&fleet, c->calls_per_node - (c->calls_per_node / 2));
+      allowed = (fleet.requests / 5) + c->extra_arrivals;
+      if (fleet.repeats > allowed || fleet.repeats < allowed / 2)
+        {
+          printf ("%s: %u repeats, %u requests, %u allowed\n", c->name, fleet.repeats,
+                  fleet.requests, allowed);
+          CU_FAIL (c->name);
+        }
+      free (fleet.upper);
+      free (fleet.lower);
+    }
+}
+
 /* Guards against hedges at the wrong quantile: 5% of the latencies exceed the estimate, with a
  * tolerance of one third, at each scale and after each change of the scale. */
 static void
@@ -236,6 +352,7 @@
   { "hedges leave tokens for retries", test_reserve },
   { "hedges of a partly filled bucket", test_hedge_of_partly_filled_bucket },
   { "extra attempts of nine layers do not multiply", test_depth },
+  { "repeats in a fleet, with those of the calls of repeated runs", test_fleet },
   { "quantile for hedges", test_quantile },
 };
 PH_TEST_SUITE (retry, tests)
