--- a/source/core/move.c
+++ b/source/core/move.c
@@ -90,10 +90,12 @@
  * third of the upstreams may be slowed by neighbours of their VMs. */
 #define TYPICAL_SHARE 0.6
 
-/* Upstreams for each known row of counts up to which a node that is not an evaluator tests for slow
- * calls. With few of the upstreams, the fastest that it knows are not the typical ones: of 195
- * nodes one took a good version back with 13 slow calls of 31, 10 of 112 of the old version. */
-#define TYPICAL_UPSTREAMS_PER_ROW_MAX 2
+/* Upstreams for each known and recent row of counts, up to which a node that is not an evaluator
+ * tests for slow calls, and any node takes a step early. With few of the upstreams, the fastest
+ * that it knows are not the typical ones: of 195 nodes one took a good version back with 13 slow
+ * calls of 31, 10 of 112 of the old version. The counts of less than half are no estimate of all
+ * calls. */
+#define UPSTREAMS_PER_ROW_MAX 2
 
 /* Least fraction of slow calls of the old version. The typical upstreams are chosen for having few.
  */
@@ -1041,7 +1043,7 @@
   const PhMove *move = ph_move_get (&world->moves, id);
 
   return move->spec.duration == 0 || is_evaluator (world, move)
-         || upstreams_per_row (ctx, world, id) <= TYPICAL_UPSTREAMS_PER_ROW_MAX;
+         || upstreams_per_row (ctx, world, id) <= UPSTREAMS_PER_ROW_MAX;
 }
 
 /* Log likelihood ratios of the calls of one evaluation, over all route buckets. */
@@ -1204,7 +1206,7 @@
       && ctx->now - move->stage_began_at >= CONCENTRATED_TIME_MIN * move->spec.duration)
     return true;
   return elapsed >= duration_stages[move->stage + 1].begins_by
-         || (is_paying && elapsed >= FIRST_STEP
+         || (is_paying && elapsed >= FIRST_STEP && known->upstreams_per_row <= UPSTREAMS_PER_ROW_MAX
              && ctx->now - move->stage_began_at >= STEP_TIME_MIN * move->spec.duration
              && can_afford_step (move, elapsed, known));
 }
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -949,6 +949,21 @@
   stop_bed ();
 }
 
+/* Guards against nodes of the new version that other nodes do not know yet, which take themselves
+ * for evaluators, get no counts and step up early, as if the service had no calls (fleetbench
+ * chre-mesh-grown, deploy/days/version-turns-bad.toml --vary --seed 181305456340: all calls went to
+ * the new version from 0.28 of the duration on). */
+static void
+test_missing_counts (void)
+{
+  start_bed (1, 100);
+  request_move ();
+  run_seconds (4); /* the first step is due after 0.3 of the duration, 4.2 s */
+  for (uint32_t i = 0; i < bed.node_count; i++)
+    CU_ASSERT_EQUAL (find_move (i, PATH)->stage, 0);
+  stop_bed ();
+}
+
 /* Counts log lines at warning. */
 static void
 count_warning (void *user, PhLogLevel level, PhStep step, const char *peer, const char *text)
@@ -1039,6 +1054,7 @@
   { "requested moves while the old version suffers itself", test_suffering_old_versions },
   { "a status in the move's own object does not restart the move", test_own_status },
   { "old counts do not pay for a step", test_old_counts },
+  { "missing counts do not pay for a step", test_missing_counts },
   { "calls to cold upstreams are in the account", test_cold_calls_count },
   { "a change of the slow latency bucket is no evidence", test_change_of_slow_bucket },
   { "a move whose end is reported is not decided again", test_reported_outcomes },
