Add review case 8: a zone that starts later stays a group of its own

Cause: a node stops reading contact objects when it knows one other live node, and a group that has heard of no other zone never looks for one. Its third node depends on the two that watch the store.

Change: a script with a proxy that gives stale lists of contacts and turns two of nine machines away. lib-2.sh lets a script name the zone and the store's address of a node. Nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 make --no-print-directory -j4 BUILD=build build/standin-platform build/standin-raw
+mkdir -p build/review-2
+${CC:-cc} -std=gnu11 -O1 -Wall -Wextra -pthread -o build/review-2/store-proxy review/standin-2/store-proxy.c
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -7,7 +7,6 @@
 block=$(($$ % 200 + 20))
 store="127.$block.$net.250:7080"
 zones=a=r1,b=r1,c=r1
-zone_names=(a b c)
 declare -A pid
 : >"$record"
 
@@ -27,7 +26,9 @@
 trap clean_up EXIT
 trap 'exit 2' INT TERM
 
+store_of () { echo "$store"; } # the store as node I reaches it
 address () { echo "127.$block.$net.$1"; }
+zone_of () { local names=(a b c); echo "${names[$(($1 % 3))]}"; }
 service_of () { [ "$1" -le 2 ] && echo book || echo lib; }
 run_in_background () { # NAME COMMAND...
   local name=$1
@@ -51,9 +52,9 @@
   printf 'log-level=info\nstop-grace-ms=3000\nstop-seconds=6s\n' >"$work_dir/settings$i"
   POLLENHITCH_CLUSTER_KEY=6b1f0c7a92d34e58b7c5e8a10f2d4963 POLLENHITCH_CONFIG="$work_dir/settings$i" \
     run_in_background "${2:-node$i}" target/pollenhitch platform --name "node-$i" --address "$at" \
-    --data-centre "${zone_names[$((i % 3))]}" --region r1 --outbound "$at:8147" --inbound "$at:8146" \
+    --data-centre "$(zone_of "$i")" --region r1 --outbound "$at:8147" --inbound "$at:8146" \
     --ready "$at:8141" --heartbeats "$at:8144" --upstream "$at:8145" --service "$(service_of "$i")" \
-    --extra-arrivals=058 --store-address "$store" --port-control 7380 --port-admin 7381
+    --extra-arrivals=058 --store-address "$(store_of "$i")" --port-control 7380 --port-admin 7381
 }
 start_platform () { # COUNT
   local i flags=()
