--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,4 +1,4 @@
-# Helper functions of the scripts in review/7 and later. A script sets $net, a part of its addresses,
+# Helper functions of the scripts in review/6 to review/10. A script sets $net, a part of its addresses,
 # and sources this file from the root of the repository. It ends all processes that it started.
 
 trouble=${TROUBLE:-1}
