--- a/include/pollenhitch/base.h
+++ b/include/pollenhitch/base.h
@@ -157,4 +157,13 @@
  * when the string and its terminating zero do not fit. */
 bool ph_text_copy (char *field, size_t size, const char *text);
 
+/*
+ * ph_text_shorten: copy a name into a field of size bytes, at least PH_SHORT_TEXT_MIN.
+ *
+ * One that does not fit is replaced by its beginning, "~" and 24 digits of a hash (XXH3), so that
+ * two long names remain different. A name that holds valid UTF-8 is cut between two characters.
+ */
+#define PH_SHORT_TEXT_MIN 32
+void ph_text_shorten (char *field, size_t size, const char *text);
+
 #endif
--- a/include/pollenhitch/call.h
+++ b/include/pollenhitch/call.h
@@ -82,6 +82,7 @@
   PH_REASON_SILENT,           /* the upstream fell silent on the connection of the request */
   /* Runs of the route fail nearly always because their deeper calls are refused, see run_gate.h. */
   PH_REASON_DEPENDENCY,
+  PH_REASON_ROUTE_LEFT_OUT, /* the configuration names no service of the route that can be used */
   PH_REASON_COUNT
 } PhReason;
 
--- a/include/pollenhitch/config.h
+++ b/include/pollenhitch/config.h
@@ -230,6 +230,10 @@
  * compare it to find whether a sync is needed. Equal tables have equal digests. */
 uint64_t ph_config_digest (const PhWorld *world);
 
+/* ph_config_left_out_count: objects whose newest revision is rejected, and omissions of the set of
+ * routes in force: all that the store holds and that is not in force as it is written. */
+uint32_t ph_config_left_out_count (const PhWorld *world);
+
 /* ph_config_find: the row of a path, or NULL. */
 PhObjectRow *ph_config_find (const PhWorld *world, const char *path);
 
--- a/include/pollenhitch/fields.h
+++ b/include/pollenhitch/fields.h
@@ -71,13 +71,19 @@
 void ph_chain_pools_format (const PhChainReport *report, char *text);
 bool ph_chain_pools_parse (const char *text, PhChainReport *report);
 
+#define PH_DURATION_MAX (10000000 * PH_SECOND) /* 115 days */
+
 /* ph_number_parse: a decimal integer from 0 to max, without a sign, spaces or other text. */
 bool ph_number_parse (const char *text, uint64_t max, uint64_t *number);
 
 /* ph_duration_parse: convert a number with the unit ms or s, such as "1500ms" or "2.5s", to
- * microseconds; at most 10^7 s. text may be NULL. Returns false for any other text. */
+ * microseconds; at most PH_DURATION_MAX. text may be NULL. Returns false for any other text. */
 bool ph_duration_parse (const char *text, PhTime *time);
 
+/* ph_duration_read: convert a number with the unit ms or s to seconds, without a bound: the result
+ * may be infinite. text may be NULL. Returns false for any other text. */
+bool ph_duration_read (const char *text, double *seconds);
+
 /* ph_flag_parse: "true" or "false". */
 bool ph_flag_parse (const char *text, bool *flag);
 
--- a/include/pollenhitch/registration.h
+++ b/include/pollenhitch/registration.h
@@ -43,21 +43,21 @@
 /* An instance that has left. */
 typedef struct
 {
-  char instance[PH_NAME_MAX];
+  char instance[PH_INSTANCE_MAX];
   uint64_t start_wall_ms; /* instances of this name that started up to this time have left */
 } PhDepartedInstance;
 
 typedef struct
 {
-  char service[PH_NAME_MAX];  /* service of the local upstream in the settings, or "" for any */
-  char instance[PH_NAME_MAX]; /* the registered instance */
-  uint64_t start_wall_ms;     /* of the instance, as in PhHeartbeat */
-  uint64_t sequence;          /* of its last heartbeat */
-  uint32_t heartbeat_count;   /* heartbeats of the instance that were not stale, also
-                                 those that could not be applied */
-  bool is_draining;           /* it reported that it is draining, or it left */
-  bool is_confirmed;          /* it may get calls */
-  PhTime health_check_until;  /* not used: never set, always 0 */
+  char service[PH_NAME_MAX];      /* service of the local upstream in the settings, or "" for any */
+  char instance[PH_INSTANCE_MAX]; /* the registered instance */
+  uint64_t start_wall_ms;         /* of the instance, as in PhHeartbeat */
+  uint64_t sequence;              /* of its last heartbeat */
+  uint32_t heartbeat_count;       /* heartbeats of the instance that were not stale, also
+                                     those that could not be applied */
+  bool is_draining;               /* it reported that it is draining, or it left */
+  bool is_confirmed;              /* it may get calls */
+  PhTime health_check_until;      /* not used: never set, always 0 */
   PhDepartedInstance departed[PH_REGISTRATION_DEPARTED_MAX]; /* ring of the last ones */
   uint32_t departed_count;                                   /* all that have left so far */
 } PhRegistration;
--- a/include/pollenhitch/route.h
+++ b/include/pollenhitch/route.h
@@ -2,112 +2,69 @@
 #define PH_ROUTE_H
 
 #include "pollenhitch/chain.h"
-#include "pollenhitch/upstream.h"
+#include "pollenhitch/route_set.h"
 
 /*
  * Routes: map the host and path prefix of a request to a service.
  *
- * The routes of a platform's fleet (see config.h), its services and the limits
- * on callers form one set, which is applied as a whole or not at all. A route may
- * be split between services by weight.
+ * The set in force (see route_set.h) holds what the configuration says of the
+ * routes; the table of routes has a row for each of them with what this node has
+ * learned, which is kept from one set to the next. A set is put in force as a
+ * whole. A route may be split between services by weight.
  */
 
-#define PH_HOST_MAX 128   /* bytes with the final zero */
-#define PH_PREFIX_MAX 128 /* bytes with the final zero */
-#define PH_ROUTE_TARGETS_MAX 8
-#define PH_ROUTES_DEFAULT 4096 /* default capacity of the table of routes */
+/* Default capacity of the table of routes. A route takes at least 33 bytes of the text of an object
+ * ("r":{"host":"h","pathPrefix":"/"}, and a comma), so that an object of 1 MiB has fewer. */
+#define PH_ROUTES_DEFAULT (32u * 1024)
 
 typedef struct
 {
-  uint32_t v;
-} PhRouteId;
-
-/* One service of a route and its share of the requests. */
-typedef struct
-{
-  char service[PH_NAME_MAX]; /* "team/service" */
-  uint32_t weight;
-} PhRouteTarget;
-
-typedef struct
-{
-  char host[PH_HOST_MAX];     /* lower case, without a port */
-  char prefix[PH_PREFIX_MAX]; /* begins and ends with a slash */
-  bool is_idempotent;         /* requests may be executed more than once */
-  bool is_bulk;               /* responses are large: upstreams near the caller are preferred */
-  uint32_t priority;          /* 0 is the most urgent */
-  uint32_t attempts_max;      /* attempts of one request that may reach an upstream; see call.h */
-  PhTime timeout;             /* time within which a caller gets a response or a refusal */
-  PhTime objective;           /* latency up to which a response has its full value; 0 for none */
-  uint32_t target_count;
-  PhRouteTarget targets[PH_ROUTE_TARGETS_MAX];
-} PhRouteSpec;
-
-/* Limits on what callers send. There is no limit on the size of header fields, which the server's
- * memory for a connection bounds, and none on idle connections, which are kept longer than any
- * caller reuses them. */
-typedef struct
-{
-  uint64_t body_bytes_max; /* 0 for no limit */
-} PhCallerLimits;
-
-/* A decoded set, to be freed with ph_route_set_drop. */
-typedef struct PhRouteSet
-{
-  uint32_t route_count;
-  PhRouteSpec *routes;
-  uint32_t service_count;
-  struct PhServiceSpec *services;
-  PhCallerLimits limits;
-} PhRouteSet;
-
-typedef struct
-{
-  PhRouteSpec spec;
-  uint64_t key_hash;                             /* hash of host and prefix */
-  uint32_t generation;                           /* number of the last set that contained it */
-  int64_t current_weights[PH_ROUTE_TARGETS_MAX]; /* state of the weighted round robin */
-  PhChainEvidence chain;                         /* whether the local upstream calls the route */
+  uint64_t key_hash;     /* hash of host and prefix */
+  uint32_t spec;         /* index in PhRouteSet.routes of the set in force */
+  uint32_t generation;   /* number of the last set that contained it */
+  PhChainEvidence chain; /* whether the local upstream calls the route */
 } PhRoute;
 
 PH_DECLARE_TABLE (PhRoute, PhRouteId, ph_route)
 
-/* ph_route_set_new: an empty set with capacity for a number of routes and services, owned by the
- * caller. Returns NULL when memory runs out. */
-PhRouteSet *ph_route_set_new (uint32_t routes, uint32_t services);
-
-/* ph_route_set_drop: free a set, which may be NULL. */
-void ph_route_set_drop (PhRouteSet *set);
-
 /*
- * ph_route_apply: replace the routes, services and limits by those of a set.
+ * ph_route_apply: put a set in force in place of the previous one. Takes over the set, which was
+ * prepared with ph_route_set_prepare, and cannot fail.
  *
  * Routes that the set does not name are removed; services that it does not name
- * are no longer configured. The set stays with the caller. The table of routes
- * must have room for the old and the new set together. Returns false with err set
- * when a table is full, memory runs out or the name of a service is not valid;
- * the routes and rules then remain as they were.
+ * are no longer configured. Routes for which the table has no room are left out, which is recorded
+ * as an omission of the set; with the default capacity there is room for all.
  */
-bool ph_route_apply (PhContext *ctx, PhWorld *world, const PhRouteSet *set, PhError *err);
+void ph_route_apply (PhContext *ctx, PhWorld *world, PhRouteSet *set);
+
+/* ph_route_configure_service: set the rules of a service that has got its row after the set was put
+ * in force. */
+void ph_route_configure_service (PhWorld *world, PhService *service);
+
+/* ph_route_spec: what the set in force says of a route; NULL for a stale handle. */
+const PhRouteSpec *ph_route_spec (const PhWorld *world, PhRouteId id);
+
+/* ph_route_health_path: path of health checks of a service, "" if the set in force has none. */
+const char *ph_route_health_path (const PhWorld *world, const PhService *service);
 
 /*
  * ph_route_find: the route of a request, or 0.
  *
- * host is the Host field; a port in it is ignored, and so is the case of its
- * letters. path is the request target as received; a query in it is ignored. The
- * route of the host with the longest matching prefix is found. A prefix matches
- * with its final slash: "/a/" matches "/a/b", not "/a". Only the first
- * PH_PREFIX_MAX - 1 bytes of the path are compared.
+ * host is the Host field, whose letters match in either case. A route whose host has a port is
+ * found only with this port; without such a route a port is ignored. path is the request target as
+ * received; a query in it is ignored. The route of the host with the longest matching prefix is
+ * found. A prefix matches with its final slash: "/a/" matches "/a/b", not "/a".
  */
 PhRouteId ph_route_find (const PhWorld *world, const char *host, const char *path);
 
 /*
- * ph_route_pick: the service of the next request of a route. Returns 0 for a stale
- * handle, a route without targets, or a service that is not known.
+ * ph_route_pick: the service of the next request of a route.
  *
  * Smooth weighted round robin: the shares hold in every short sequence of
- * requests, whether or not the services have free capacity.
+ * requests, whether or not the services have free capacity. Returns 0 with err set: for a stale
+ * handle PH_ERROR_NOT_FOUND, for a route none of whose services can be used PH_ERROR_INVALID, and
+ * PH_ERROR_FULL when the table of services is full.
  */
-PhServiceId ph_route_pick (PhWorld *world, PhRouteId id);
+PhServiceId ph_route_pick (PhContext *ctx, PhWorld *world, PhRouteId id, PhError *err);
 
 #endif
--- a/include/pollenhitch/scan.h
+++ b/include/pollenhitch/scan.h
@@ -29,4 +29,24 @@
  * kept by the caller. Returns false at the end, at a syntax error, and if array is not an array. */
 bool ph_json_next_element (PhJsonPart array, size_t *offset, PhJsonPart *element);
 
+typedef enum
+{
+  PH_JSON_END,    /* the object has no further member */
+  PH_JSON_MEMBER, /* *name and *value are set */
+  PH_JSON_ERROR   /* a syntax error, or not an object */
+} PhJsonStep;
+
+/* ph_json_next_member: get the next member of an object. *offset is 0 for the first call and then
+ * kept by the caller. name is the part between the quotation marks, with its escapes. */
+PhJsonStep
+ph_json_next_member (PhJsonPart object, size_t *offset, PhJsonPart *name, PhJsonPart *value);
+
+/* ph_json_number: a number in any notation that JSON allows. One beyond the range of double becomes
+ * infinite. Returns false for another value. */
+bool ph_json_number (PhJsonPart value, double *number);
+
+/* ph_json_string: the text of a string, which the caller frees. Returns NULL for another value, for
+ * one that is not UTF-8 or has the character U+0000, and when memory runs out. */
+char *ph_json_string (PhJsonPart value);
+
 #endif
--- a/include/pollenhitch/table.h
+++ b/include/pollenhitch/table.h
@@ -127,6 +127,10 @@
 bool ph_index_init (PhIndex *index, uint32_t capacity, PhError *err);
 void ph_index_clear (PhIndex *index);
 
+/* ph_index_reserve: make room for capacity handles in all, keeping the entries. Returns false, with
+ * the index unchanged, when memory runs out. */
+bool ph_index_reserve (PhIndex *index, uint32_t capacity);
+
 /* ph_index_add: add a handle, which must not be 0, under the hash of its key. */
 void ph_index_add (PhIndex *index, uint64_t hash, uint32_t handle);
 
--- a/include/pollenhitch/upstream.h
+++ b/include/pollenhitch/upstream.h
@@ -14,7 +14,7 @@
 
 #define PH_SERVICE_UPSTREAMS_MAX 1024 /* upstreams of one service */
 #define PH_VERSION_MAX 32             /* bytes with the final zero */
-#define PH_HEALTH_PATH_MAX 128        /* bytes with the final zero */
+#define PH_INSTANCE_MAX 256           /* bytes with the final zero */
 
 typedef struct
 {
@@ -104,9 +104,9 @@
    * by heartbeats, otherwise the epoch of its node. Unlike that of a member it has no order. An
    * announcement with another epoch replaces the row. */
   uint64_t epoch;
-  char instance[PH_NAME_MAX]; /* of the local upstream: name of its instance, or "" */
-  uint16_t port;              /* of the local upstream itself */
-  uint32_t slots;             /* calls that it executes at once, as announced; 0 counts as 1 */
+  char instance[PH_INSTANCE_MAX]; /* of the local upstream: name of its instance, or "" */
+  uint16_t port;                  /* of the local upstream itself */
+  uint32_t slots;                 /* calls that it executes at once, as announced; 0 counts as 1 */
   /* Connections that it accepts, as announced, or as set by operators if it registers by
    * heartbeats; 0 for no limit. */
   uint32_t connections;
@@ -164,7 +164,6 @@
   /* Connections that an upstream that registers by heartbeats accepts, from all callers; 0 for no
    * limit. */
   uint32_t connections_max;
-  char health_path[PH_HEALTH_PATH_MAX]; /* path of health checks, "" for the node's setting */
 } PhServiceRules;
 
 /* Classes of callers: the priorities 0 to 2 and all others together, each by the time left. */
@@ -202,7 +201,8 @@
   PhServiceRules rules;
   uint32_t version_rule_count;
   PhVersionRule version_rules[PH_RULE_VERSIONS_MAX];
-  PhUpstreamId *upstreams; /* owned, PH_SERVICE_UPSTREAMS_MAX entries, in order of group */
+  /* Owned, PH_SERVICE_UPSTREAMS_MAX entries, in order of group; NULL before the first one. */
+  PhUpstreamId *upstreams;
   uint32_t upstream_count;
   uint32_t group_end[PH_CANDIDATE_GROUP_COUNT]; /* position after the last upstream of each group */
   double latency_us;                            /* smoothed response time of the service */
--- a/include/pollenhitch/world.h
+++ b/include/pollenhitch/world.h
@@ -141,6 +141,7 @@
   uint32_t store_era_number; /* incremented when the era changes while configuration is known */
   PhConfigList config_lists[PH_CONFIG_LISTS_MAX]; /* lists that this node read from the store */
   uint32_t config_list_count;
+  PhRouteSet *route_set;     /* in force, owned; NULL before the first */
   uint32_t route_generation; /* incremented with each set of routes */
   bool has_routes;           /* a set of routes is in force */
   PhCallerLimits caller_limits;
@@ -165,7 +166,7 @@
 /* Default capacities, in rows. */
 #define PH_CALLS_DEFAULT 16384
 #define PH_UPSTREAMS_DEFAULT 4096
-#define PH_SERVICES_DEFAULT 1024
+#define PH_SERVICES_DEFAULT 4096
 #define PH_OBJECTS_DEFAULT 8192
 
 /* ph_world_new: create a world, to be freed with ph_world_drop. *effects is copied. Returns NULL
--- a/source/client/status.c
+++ b/source/client/status.c
@@ -81,12 +81,25 @@
                          json_is_true (json_object_get (store, "watching")) ? "watching" : "-");
 }
 
+/* Prints what a node leaves out of an object that is in force, a line each. */
+static void
+print_left_out (const PhNodeRow *row)
+{
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (json_object_get (row->page, "left_out"), i, entry)
+    printf ("%s leaves out or adjusts %s: %s\n", row->address,
+            json_string_value (json_object_get (entry, "entry")),
+            json_string_value (json_object_get (entry, "reason")));
+}
+
 static void
 print_table (const PhNodes *nodes)
 {
   static const char *const titles[]
-      = { "NODE",  "NAME",      "DATA-CENTRE", "REVISION", "REJECTED", "STORE",
-          "CALLS", "IN-FLIGHT", "QUEUED",      "LIMIT",    "MEMBERS" };
+      = { "NODE",  "NAME",  "DATA-CENTRE", "REVISION", "REJECTED", "LEFT-OUT",
+          "STORE", "CALLS", "IN-FLIGHT",   "QUEUED",   "LIMIT",    "MEMBERS" };
   PhNodeRowId id = { 0 };
   PhOutputTable table;
 
@@ -103,6 +116,7 @@
       add_number (&table, row->page, "config_revision");
       ph_output_table_add (&table, "%zu",
                            json_array_size (json_object_get (row->page, "rejected")));
+      add_number (&table, row->page, "left_out_count");
       add_store (&table, json_object_get (row->page, "store"));
       add_number (&table, row->page, "calls");
       add_number (&table, upstream, "in_flight");
@@ -116,6 +130,8 @@
       g_free (members);
     }
   ph_output_table_print (&table);
+  while ((id = ph_node_row_next (&nodes->rows, id)).v != 0)
+    print_left_out (ph_node_row_get (&nodes->rows, id));
 }
 
 static void
--- a/source/core/base.c
+++ b/source/core/base.c
@@ -1,9 +1,12 @@
 #include "pollenhitch/base.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define LOG_LINE_MAX 512
+#define SHORT_TEXT_DIGITS 24 /* of the hash in a shortened text */
 
 static const char *const error_code_names[] = {
   "none",     "invalid",  "full", "not-found", "conflict", "timeout",
@@ -29,6 +32,33 @@
   return (unsigned)step < PH_STEP_COUNT ? step_names[step] : "unknown";
 }
 
+/* Length of a text after an incomplete UTF-8 character at its end is left out. */
+static size_t
+complete_size (const char *text, size_t size)
+{
+  size_t at = size;
+
+  while (at > 0 && ((unsigned char)text[at - 1] & 0xc0) == 0x80 && size - at < 3)
+    at--;
+  if (at == 0 || (unsigned char)text[at - 1] < 0xc0)
+    return size;
+  return size - at + 1
+                 == ((unsigned char)text[at - 1] >= 0xf0   ? 4u
+                     : (unsigned char)text[at - 1] >= 0xe0 ? 3u
+                                                           : 2u)
+             ? size
+             : at - 1;
+}
+
+/* Formats a text. One that does not fit is cut between two UTF-8 characters, because encoders of
+ * JSON reject a text with half of one. */
+__attribute__ ((format (printf, 3, 0))) static void
+format_text (char *text, size_t size, const char *format, va_list args)
+{
+  if (vsnprintf (text, size, format, args) >= (int)size)
+    text[complete_size (text, strlen (text))] = '\0';
+}
+
 bool
 ph_error_set (
     PhError *err, PhErrorCode code, PhStep step, const char *peer, const char *format, ...)
@@ -41,7 +71,7 @@
   err->step = step;
   snprintf (err->peer, sizeof err->peer, "%s", peer != NULL ? peer : "");
   va_start (args, format);
-  vsnprintf (err->text, sizeof err->text, format, args);
+  format_text (err->text, sizeof err->text, format, args);
   va_end (args);
   return false;
 }
@@ -55,7 +85,7 @@
   if (ctx->log == NULL)
     return;
   va_start (args, format);
-  vsnprintf (text, sizeof text, format, args);
+  format_text (text, sizeof text, format, args);
   va_end (args);
   ctx->log (ctx->log_user, level, step, peer != NULL ? peer : "", text);
 }
@@ -128,3 +158,19 @@
   memcpy (field, text, needed);
   return true;
 }
+
+void
+ph_text_shorten (char *field, size_t size, const char *text)
+{
+  size_t text_size = strlen (text);
+  size_t kept = size - 1 - SHORT_TEXT_DIGITS - 1;
+  XXH128_hash_t hash;
+
+  if (ph_text_copy (field, size, text))
+    return;
+  hash = XXH3_128bits (text, text_size);
+  kept = complete_size (text, kept);
+  memcpy (field, text, kept);
+  snprintf (field + kept, size - kept, "~%08" PRIx32 "%016" PRIx64, (uint32_t)hash.high64,
+            hash.low64);
+}
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -101,6 +101,7 @@
   [PH_REASON_SLOW] = { "slow", 503, FAILURE_SLOW_VM },
   [PH_REASON_SILENT] = { "silent", 504, FAILURE_BUSY },
   [PH_REASON_DEPENDENCY] = { "dependency", 503, FAILURE_BUSY },
+  [PH_REASON_ROUTE_LEFT_OUT] = { "route-left-out", 503, FAILURE_FINAL },
 };
 
 static const char *const run_names[] = { "no", "yes", "unknown" };
--- a/source/core/chain_reports.c
+++ b/source/core/chain_reports.c
@@ -18,6 +18,9 @@
  * pools shrinks to TOTAL_KEPT like any other. */
 #define RECALLED_POOL 11500
 
+/* Buffer size of a host or prefix in a log line; a longer one is shortened. */
+#define ROUTE_TEXT_SIZE 160
+
 bool
 ph_chain_reports_init (PhWorld *world, PhError *err)
 {
@@ -42,16 +45,22 @@
 trace_decision (PhContext *ctx, PhWorld *world, const PhRoute *route, bool was_deeper)
 {
   const PhChainEvidence *evidence = &route->chain;
+  const PhRouteSet *set = world->route_set;
+  const PhRouteSpec *spec = &set->routes[route->spec];
+  char prefix[ROUTE_TEXT_SIZE];
+  char host[ROUTE_TEXT_SIZE];
 
   if (evidence->is_deeper == was_deeper)
     return;
+  ph_text_shorten (host, sizeof host, ph_route_set_text (set, spec->host));
+  ph_text_shorten (prefix, sizeof prefix, ph_route_set_text (set, spec->prefix));
   world->chain.deeper_version++;
   ph_count (ctx, PH_COUNT_CHAIN_DECISIONS, 1);
-  ph_log (
-      ctx, PH_LOG_INFO, PH_STEP_CHOOSE, NULL,
-      "route %s%s (key %016" PRIx64 ") is called by %s: own evidence %.1f, total of all nodes %.1f",
-      route->spec.host, route->spec.prefix, route->key_hash,
-      evidence->is_deeper ? "upstreams" : "callers", evidence->log_ratio, evidence->total / 1000.0);
+  ph_log (ctx, PH_LOG_INFO, PH_STEP_CHOOSE, NULL,
+          "route %s%s (key %016" PRIx64
+          ") is called by %s: own evidence %.1f, total of all nodes %.1f",
+          host, prefix, route->key_hash, evidence->is_deeper ? "upstreams" : "callers",
+          evidence->log_ratio, evidence->total / 1000.0);
 }
 
 uint32_t
--- a/source/core/config.c
+++ b/source/core/config.c
@@ -37,6 +37,17 @@
   return ph_object_get (&world->objects, find_object (world, path));
 }
 
+uint32_t
+ph_config_left_out_count (const PhWorld *world)
+{
+  uint32_t count = world->route_set != NULL ? world->route_set->omission_count : 0;
+  PhObjectId id = { 0 };
+
+  while ((id = ph_object_next (&world->objects, id)).v != 0)
+    count += ph_object_get (&world->objects, id)->is_rejected;
+  return count;
+}
+
 static PhObjectId
 intern_object (PhWorld *world, const char *path, PhError *err)
 {
@@ -157,20 +168,22 @@
   ph_choice_data_centre_changed (ctx, world, dc_id);
 }
 
-/* Applies the object's set of routes and frees the set. */
+/* Puts the object's set of routes in force, and logs what is left out of it. */
 static void
 apply_routes (PhContext *ctx, PhWorld *world, PhObject *object)
 {
-  PhError err;
+  const PhRouteSet *set = object->spec.routes;
 
   /* The deletion of the object is taken for an operator's mistake, so the routes in force remain.
    */
-  if (object->is_deleted || object->spec.routes == NULL)
+  if (object->is_deleted || set == NULL)
     return;
-  if (!ph_route_apply (ctx, world, object->spec.routes, &err))
-    ph_log_error (ctx, PH_LOG_ERROR, &err);
-  ph_route_set_drop (object->spec.routes);
+  ph_route_apply (ctx, world, object->spec.routes);
   object->spec.routes = NULL;
+  for (uint32_t i = 0; i < set->omission_count; i++)
+    ph_log (ctx, PH_LOG_WARNING, PH_STEP_CONFIG, NULL, "%s: %s: %s", object->path,
+            ph_route_set_text (set, set->omissions[i].entry),
+            ph_route_set_text (set, set->omissions[i].reason));
 }
 
 /* Puts an object or its deletion in force. The object is in its row already. */
--- a/source/core/event.c
+++ b/source/core/event.c
@@ -210,7 +210,7 @@
   /* The path of an object may be longer than the field. What is kept of it still shows the team and
    * the kind of object. */
   if (peer != NULL)
-    snprintf (event->peer, sizeof event->peer, "%s", peer);
+    ph_text_shorten (event->peer, sizeof event->peer, peer);
 }
 
 const PhEvent *
--- a/source/core/route.c
+++ b/source/core/route.c
@@ -1,110 +1,119 @@
 #include "pollenhitch/route.h"
 
-#include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "pollenhitch/invariant.h"
 #include "pollenhitch/world.h"
 
-/* Copies a host without its port, in lower case, to text, which has PH_HOST_MAX bytes. Returns its
- * length, or 0 when it is too long. */
-static size_t
-normalise_host (const char *host, char *text)
+/* Host and prefix of a route to be found. The texts need not be terminated. */
+typedef struct
 {
-  size_t size = strcspn (host, ":");
+  const PhWorld *world;
+  const char *host;
+  size_t host_size;
+  const char *prefix;
+  size_t prefix_size;
+} RouteName;
 
-  if (size >= PH_HOST_MAX)
-    return 0;
-  for (size_t i = 0; i < size; i++)
-    text[i] = (char)(host[i] >= 'A' && host[i] <= 'Z' ? host[i] - 'A' + 'a' : host[i]);
-  text[size] = '\0';
-  return size;
+static uint64_t
+route_key (const RouteName *name)
+{
+  return ph_hash_mix (ph_hash_bytes (name->host, name->host_size),
+                      ph_hash_bytes (name->prefix, name->prefix_size));
 }
 
-static uint64_t
-route_key (const char *host, const char *prefix)
+static bool
+is_text (const char *text, const char *bytes, size_t size)
 {
-  return ph_hash_mix (ph_hash (host), ph_hash (prefix));
+  return strncmp (text, bytes, size) == 0 && text[size] == '\0';
 }
 
-PhRouteSet *
-ph_route_set_new (uint32_t routes, uint32_t services)
+static bool
+route_matches (const void *user, uint32_t handle, const char *key)
 {
-  PhRouteSet *set = calloc (1, sizeof *set);
+  const RouteName *name = user;
+  const PhRouteSet *set = name->world->route_set;
+  const PhRouteSpec *spec = ph_route_spec (name->world, (PhRouteId){ handle });
 
-  if (set == NULL)
-    return NULL;
-  set->routes = calloc (routes + 1, sizeof *set->routes);
-  set->services = calloc (services + 1, sizeof *set->services);
-  if (set->routes != NULL && set->services != NULL)
-    return set;
-  ph_route_set_drop (set);
-  return NULL;
+  (void)key;
+  return spec->prefix_size == name->prefix_size
+         && memcmp (ph_route_set_text (set, spec->prefix), name->prefix, name->prefix_size) == 0
+         && is_text (ph_route_set_text (set, spec->host), name->host, name->host_size);
 }
 
-void
-ph_route_set_drop (PhRouteSet *set)
+static PhRouteId
+find_named (const RouteName *name)
 {
-  if (set == NULL)
-    return;
-  free (set->routes);
-  free (set->services);
-  free (set);
+  return (PhRouteId){ ph_index_find (&name->world->route_index, route_key (name), route_matches,
+                                     name, NULL) };
 }
 
-static bool
-prefix_matches (const void *user, uint32_t handle, const char *key)
+/* The row of a route that a set names, among those of the set in force. */
+static PhRouteId
+find_same (const PhWorld *world, const PhRouteSet *set, const PhRouteSpec *spec, RouteName *name)
 {
-  const PhWorld *world = user;
-
-  return strcmp (ph_route_get (&world->routes, (PhRouteId){ handle })->spec.prefix, key) == 0;
+  *name = (RouteName){ .world = world,
+                       .host = ph_route_set_text (set, spec->host),
+                       .prefix = ph_route_set_text (set, spec->prefix),
+                       .prefix_size = spec->prefix_size };
+  name->host_size = strlen (name->host);
+  return find_named (name);
 }
 
-static PhRouteId
-find_exact (const PhWorld *world, const char *host, const char *prefix)
+const PhRouteSpec *
+ph_route_spec (const PhWorld *world, PhRouteId id)
 {
-  PhRouteId id = { ph_index_find (&world->route_index, route_key (host, prefix), prefix_matches,
-                                  world, prefix) };
   const PhRoute *route = ph_route_get (&world->routes, id);
 
-  return route != NULL && strcmp (route->spec.host, host) == 0 ? id : (PhRouteId){ 0 };
+  return route != NULL ? &world->route_set->routes[route->spec] : NULL;
 }
 
-/* Whether two revisions of a route have the same targets and weights, so that the round robin need
- * not restart. */
-static bool
-has_same_targets (const PhRouteSpec *a, const PhRouteSpec *b)
+static const char *
+target_name (const PhRouteSet *set, const PhRouteTarget *target)
 {
-  if (a->target_count != b->target_count)
-    return false;
-  for (uint32_t i = 0; i < a->target_count; i++)
-    if (strcmp (a->targets[i].service, b->targets[i].service) != 0
-        || a->targets[i].weight != b->targets[i].weight)
-      return false;
-  return true;
+  return ph_route_set_text (set, set->services[target->service.v].name);
 }
 
+/* Continues the round robin of a route in the next set if its targets and weights are the same. */
 static void
-upsert_route (PhWorld *world, const PhRouteSpec *spec)
+keep_weights (const PhRouteSet *old_set,
+              const PhRouteSpec *old,
+              const PhRouteSet *set,
+              const PhRouteSpec *spec)
 {
-  PhRouteId id = find_exact (world, spec->host, spec->prefix);
-  PhRoute *route = ph_route_get (&world->routes, id);
+  const PhRouteTarget *from = old_set->targets + old->first_target;
+  PhRouteTarget *to = set->targets + spec->first_target;
 
-  if (route == NULL)
+  if (old->target_count != spec->target_count)
+    return;
+  for (uint32_t i = 0; i < spec->target_count; i++)
+    if (from[i].weight != to[i].weight
+        || strcmp (target_name (old_set, &from[i]), target_name (set, &to[i])) != 0)
+      return;
+  for (uint32_t i = 0; i < spec->target_count; i++)
+    to[i].current_weight = from[i].current_weight;
+}
+
+/* Finds the rows of the routes that both sets name. */
+static void
+keep_routes (PhWorld *world, PhRouteSet *set)
+{
+  for (uint32_t i = 0; i < set->route_count; i++)
     {
-      id = ph_route_add (&world->routes, &route);
-      PH_INVARIANT (id.v != 0);
-      route->key_hash = route_key (spec->host, spec->prefix);
-      ph_index_add (&world->route_index, route->key_hash, id.v);
+      PhRouteSpec *spec = &set->routes[i];
+      RouteName name;
+      PhRoute *route;
+
+      spec->row = find_same (world, set, spec, &name);
+      route = ph_route_get (&world->routes, spec->row);
+      if (route == NULL)
+        continue;
+      keep_weights (world->route_set, &world->route_set->routes[route->spec], set, spec);
+      route->generation = world->route_generation;
     }
-  if (!has_same_targets (&route->spec, spec))
-    memset (route->current_weights, 0, sizeof route->current_weights);
-  route->spec = *spec;
-  route->generation = world->route_generation;
 }
 
-/* Removes the routes that the last set did not contain. */
+/* Removes the routes that the next set does not name. */
 static void
 remove_stale_routes (PhWorld *world)
 {
@@ -122,94 +131,169 @@
     }
 }
 
-/* Adds the services of a set and replaces the rules. Returns false with err set when the table of
- * services is full. */
-static bool
-set_services (PhContext *ctx, PhWorld *world, const PhRouteSet *set, PhError *err)
+/* Adds the row of a route of the set in force, or finds that of an earlier one of the same name. */
+static void
+add_route (PhWorld *world, PhRouteSet *set, PhRouteSpec *spec)
 {
-  PhServiceId id = { 0 };
+  RouteName name;
+  PhRoute *route;
 
-  for (uint32_t i = 0; i < set->service_count; i++)
-    if (ph_service_intern (ctx, world, set->services[i].service, err).v == 0)
-      return false;
-  while ((id = ph_service_next (&world->services, id)).v != 0)
-    ph_service_get (&world->services, id)->is_configured = false;
-  for (uint32_t i = 0; i < set->service_count; i++)
+  spec->row = find_same (world, set, spec, &name);
+  if (spec->row.v == 0)
     {
-      PhService *service
-          = ph_service_get (&world->services, ph_service_find (world, set->services[i].service));
+      spec->row = ph_route_add (&world->routes, &route);
+      if (spec->row.v == 0)
+        {
+          char prefix[PH_NAME_MAX];
 
-      service->is_configured = true;
-      service->rules = set->services[i].rules;
+          ph_text_shorten (prefix, sizeof prefix, name.prefix);
+          ph_route_set_add_omission (set, prefix, "left out: the table of routes is full");
+          return;
+        }
+      route->key_hash = route_key (&name);
+      route->generation = world->route_generation;
+      ph_index_add (&world->route_index, route->key_hash, spec->row.v);
     }
-  return true;
+  ph_route_get (&world->routes, spec->row)->spec = (uint32_t)(spec - set->routes);
 }
 
-bool
-ph_route_apply (PhContext *ctx, PhWorld *world, const PhRouteSet *set, PhError *err)
+void
+ph_route_configure_service (PhWorld *world, PhService *service)
 {
-  /* The table needs capacity for both sets, because new routes are added before old ones are
-   * removed. */
-  if (set->route_count + world->routes.count > world->routes.capacity)
-    return ph_error_set (err, PH_ERROR_FULL, PH_STEP_CONFIG, NULL,
-                         "the set has %u routes, but the table has room for only %u beside those "
-                         "in force, which are removed afterwards",
-                         set->route_count, world->routes.capacity - world->routes.count);
-  if (!set_services (ctx, world, set, err))
-    return false;
+  const PhRouteService *spec = ph_route_set_find_service (world->route_set, service->name);
+
+  if (world->route_set == NULL)
+    return;
+  service->is_configured = spec != NULL;
+  if (spec != NULL)
+    service->rules = spec->rules;
+}
+
+const char *
+ph_route_health_path (const PhWorld *world, const PhService *service)
+{
+  const PhRouteService *spec = ph_route_set_find_service (world->route_set, service->name);
+
+  return spec != NULL ? ph_route_set_text (world->route_set, spec->health_path) : "";
+}
+
+static void
+configure_services (PhWorld *world)
+{
+  PhServiceId id = { 0 };
+
+  while ((id = ph_service_next (&world->services, id)).v != 0)
+    ph_route_configure_service (world, ph_service_get (&world->services, id));
+}
+
+void
+ph_route_apply (PhContext *ctx, PhWorld *world, PhRouteSet *set)
+{
+  PhRouteSet *old = world->route_set;
+
   world->route_generation++;
-  for (uint32_t i = 0; i < set->route_count; i++)
-    upsert_route (world, &set->routes[i]);
+  keep_routes (world, set);
   remove_stale_routes (world);
+  world->route_set = set;
+  for (uint32_t i = 0; i < set->route_count; i++)
+    if (set->routes[i].row.v != 0)
+      ph_route_get (&world->routes, set->routes[i].row)->spec = i;
+  for (uint32_t i = 0; i < set->route_count; i++)
+    if (set->routes[i].row.v == 0)
+      add_route (world, set, &set->routes[i]);
+  ph_route_set_drop (old);
+  configure_services (world);
   world->caller_limits = set->limits;
   world->has_routes = true;
   ph_chain_reports_recall_waiting (ctx, world);
   world->admission.is_pending = true;
-  return true;
 }
 
-PhRouteId
-ph_route_find (const PhWorld *world, const char *host, const char *path)
+/* The route of a host, in lower case, with the longest prefix of a path. */
+static PhRouteId
+find_longest (RouteName *name, const char *path, size_t size)
 {
-  char name[PH_HOST_MAX];
-  char prefix[PH_PREFIX_MAX];
-  size_t size = strcspn (path, "?#");
+  const PhRouteSet *set = name->world->route_set;
 
-  if (normalise_host (host, name) == 0)
-    return (PhRouteId){ 0 };
-  if (size >= PH_PREFIX_MAX)
-    size = PH_PREFIX_MAX - 1;
-  memcpy (prefix, path, size);
-  for (; size > 0; size--)
+  name->prefix = path;
+  for (uint32_t i = 0; i < set->prefix_size_count; i++)
     {
       PhRouteId id;
 
-      prefix[size] = '\0';
-      if (prefix[size - 1] != '/')
+      name->prefix_size = set->prefix_sizes[i];
+      if (name->prefix_size > size || path[name->prefix_size - 1] != '/')
         continue;
-      id = find_exact (world, name, prefix);
+      id = find_named (name);
       if (id.v != 0)
         return id;
     }
   return (PhRouteId){ 0 };
 }
 
-PhServiceId
-ph_route_pick (PhWorld *world, PhRouteId id)
+PhRouteId
+ph_route_find (const PhWorld *world, const char *host, const char *path)
+{
+  const PhRouteSet *set = world->route_set;
+  RouteName name = { .world = world, .host_size = strlen (host) };
+  size_t name_size = ph_host_name_size (host);
+  size_t path_size = strcspn (path, "?#");
+  PhRouteId id = { 0 };
+
+  if (set == NULL || name_size == 0 || name_size > set->host_size_max)
+    return id;
+  name.host = set->host_buffer;
+  for (size_t i = 0; i < name.host_size && i < set->host_size_max; i++)
+    set->host_buffer[i] = (char)(host[i] >= 'A' && host[i] <= 'Z' ? host[i] - 'A' + 'a' : host[i]);
+  if (set->has_host_ports && name_size < name.host_size && name.host_size <= set->host_size_max)
+    id = find_longest (&name, path, path_size);
+  if (id.v != 0)
+    return id;
+  name.host_size = name_size;
+  return find_longest (&name, path, path_size);
+}
+
+/* The target of the next request, or NULL when the weights are all 0. */
+static PhRouteTarget *
+pick_target (PhRouteTarget *targets, uint32_t count)
 {
-  PhRoute *route = ph_route_get (&world->routes, id);
   int64_t total = 0;
   uint32_t best = 0;
 
-  if (route == NULL || route->spec.target_count == 0)
-    return (PhServiceId){ 0 };
-  for (uint32_t i = 0; i < route->spec.target_count; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
-      route->current_weights[i] += route->spec.targets[i].weight;
-      total += route->spec.targets[i].weight;
-      if (route->current_weights[i] > route->current_weights[best])
+      targets[i].current_weight += targets[i].weight;
+      total += targets[i].weight;
+      if (targets[i].current_weight > targets[best].current_weight)
         best = i;
     }
-  route->current_weights[best] -= total;
-  return ph_service_find (world, route->spec.targets[best].service);
+  if (total == 0)
+    return NULL;
+  targets[best].current_weight -= total;
+  return &targets[best];
+}
+
+PhServiceId
+ph_route_pick (PhContext *ctx, PhWorld *world, PhRouteId id, PhError *err)
+{
+  const PhRouteSpec *spec = ph_route_spec (world, id);
+  const PhRouteSet *set = world->route_set;
+  const PhRouteTarget *target;
+  PhRouteService *service;
+
+  if (spec == NULL)
+    {
+      ph_error_set (err, PH_ERROR_NOT_FOUND, PH_STEP_CHOOSE, NULL, "the route was removed");
+      return (PhServiceId){ 0 };
+    }
+  target = pick_target (set->targets + spec->first_target, spec->target_count);
+  if (target == NULL)
+    {
+      ph_error_set (err, PH_ERROR_INVALID, PH_STEP_CHOOSE, NULL,
+                    "the route has no service that can be used");
+      return (PhServiceId){ 0 };
+    }
+  service = &set->services[target->service.v];
+  if (service->row.v == 0)
+    service->row = ph_service_intern (ctx, world, ph_route_set_text (set, service->name), err);
+  return service->row;
 }
--- a/source/core/run_gate.c
+++ b/source/core/run_gate.c
@@ -105,13 +105,11 @@
   const PhRoute *route = world->has_routes && host != NULL
                              ? ph_route_get (&world->routes, ph_route_find (world, host, path))
                              : NULL;
-  char key[PH_PREFIX_MAX];
   size_t length = path[0] == '/' ? 1 + strcspn (path + 1, "/?") : strcspn (path, "/?");
 
   if (route != NULL)
     return route->key_hash;
-  snprintf (key, sizeof key, "%s %.*s", method, (int)length, path);
-  return ph_hash (key);
+  return ph_hash_mix (ph_hash (method), ph_hash_bytes (path, length));
 }
 
 /* Forgets the runs of a process that was replaced, and what was learned from them. */
--- a/source/core/table.c
+++ b/source/core/table.c
@@ -159,15 +159,24 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
-bool
-ph_index_init (PhIndex *index, uint32_t capacity, PhError *err)
+/* Number of entries for a capacity. The index is at most half full, so that probe sequences stay
+ * short. */
+static uint32_t
+index_entry_count (uint32_t capacity)
 {
   uint32_t entry_count = 16;
 
-  memset (index, 0, sizeof *index);
-  /* The index is at most half full, so that probe sequences stay short. */
   while (entry_count < capacity * 2)
     entry_count *= 2;
+  return entry_count;
+}
+
+bool
+ph_index_init (PhIndex *index, uint32_t capacity, PhError *err)
+{
+  uint32_t entry_count = index_entry_count (capacity);
+
+  memset (index, 0, sizeof *index);
   index->entries = calloc (entry_count, sizeof *index->entries);
   if (index->entries == NULL)
     return ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_SETTINGS, NULL,
@@ -183,6 +192,23 @@
   memset (index, 0, sizeof *index);
 }
 
+bool
+ph_index_reserve (PhIndex *index, uint32_t capacity)
+{
+  PhIndex grown;
+
+  if (index_entry_count (capacity) <= index->mask + 1)
+    return true;
+  if (!ph_index_init (&grown, capacity, NULL))
+    return false;
+  for (uint32_t i = 0; i <= index->mask; i++)
+    if (index->entries[i].handle != 0)
+      ph_index_add (&grown, index->entries[i].hash, index->entries[i].handle);
+  ph_index_clear (index);
+  *index = grown;
+  return true;
+}
+
 void
 ph_index_add (PhIndex *index, uint64_t hash, uint32_t handle)
 {
--- a/source/core/upstream.c
+++ b/source/core/upstream.c
@@ -77,13 +77,6 @@
       ph_error_set (err, PH_ERROR_FULL, PH_STEP_CONFIG, NULL, "table of services is full");
       return id;
     }
-  service->upstreams = calloc (PH_SERVICE_UPSTREAMS_MAX, sizeof *service->upstreams);
-  if (service->upstreams == NULL)
-    {
-      ph_error_set (err, PH_ERROR_MEMORY, PH_STEP_CONFIG, NULL, "out of memory for a service");
-      ph_service_remove (&world->services, id);
-      return (PhServiceId){ 0 };
-    }
   ph_text_copy (service->name, sizeof service->name, name);
   service->name_hash = ph_hash (name);
   ph_service_rules_default (&service->rules);
@@ -92,6 +85,7 @@
     ph_retry_bound_fleet (&service->retry, world->fleet_attempts);
   service->choice_count = (uint32_t)ph_random_next (&ctx->random);
   ph_index_add (&world->service_index, service->name_hash, id.v);
+  ph_route_configure_service (world, service);
   return id;
 }
 
@@ -177,6 +171,15 @@
   upstream->connections = opts->connections;
 }
 
+/* Allocates the list of upstreams of a service with its first one. */
+static bool
+reserve_upstreams (PhService *service)
+{
+  if (service->upstreams == NULL)
+    service->upstreams = calloc (PH_SERVICE_UPSTREAMS_MAX, sizeof *service->upstreams);
+  return service->upstreams != NULL;
+}
+
 static PhUpstreamId
 add_upstream (PhContext *ctx,
               PhWorld *world,
@@ -188,12 +191,13 @@
   PhUpstream *upstream;
   PhUpstreamId id = ph_upstream_add (&world->upstreams, &upstream);
 
-  if (id.v == 0 || service->upstream_count == PH_SERVICE_UPSTREAMS_MAX)
+  if (id.v == 0 || service->upstream_count == PH_SERVICE_UPSTREAMS_MAX
+      || !reserve_upstreams (service))
     {
       ph_upstream_remove (&world->upstreams, id);
       ph_error_set (err, PH_ERROR_FULL, PH_STEP_ANNOUNCE, NULL,
-                    "upstream not added: the table of upstreams is full, or its service has the "
-                    "maximum number");
+                    "upstream not added: the table of upstreams is full, its service has the "
+                    "maximum number, or memory has run out");
       return (PhUpstreamId){ 0 };
     }
   upstream->service = service_id;
--- a/source/core/world.c
+++ b/source/core/world.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DATA_CENTRES_MAX 64
+#define DATA_CENTRES_MAX 1024
 
 /* Passes over the systems in one tick. More than one is needed because a system can make rows
  * pending for an earlier one: when admission refuses an attempt, its call goes back to the call
@@ -185,6 +185,7 @@
   ph_table_clear (&world->moves);
   ph_table_clear (&world->evidence);
   ph_table_clear (&world->routes);
+  ph_route_set_drop (world->route_set);
   ph_chain_reports_clear (world);
   ph_table_clear (&world->silence.rows);
   ph_table_clear (&world->run_gates.rows);
--- a/source/node/front.c
+++ b/source/node/front.c
@@ -9,7 +9,6 @@
 #include "node/response.h"
 
 #define PEER_CONNECTIONS_MAX 16384
-#define CONNECTION_IDLE_SECONDS 75
 #define RESPONSE_BLOCK_SIZE ((size_t)16 * 1024)
 
 /* Once an early response is ready and no forward takes the request body any more, up to this many
@@ -400,7 +399,7 @@
   server->node = node;
   server->origin = origin;
   server_opts.address = node->settings.address;
-  server_opts.idle_seconds = CONNECTION_IDLE_SECONDS;
+  server_opts.idle_seconds = PH_CONNECTION_IDLE_SECONDS;
   server_opts.handler = on_request;
   server_opts.on_uri = on_uri;
   server_opts.on_completed = on_completed;
@@ -428,7 +427,7 @@
           .port = opts->port,
           .connections_max = opts->connections_max,
           .connections_per_address_max = opts->connections_per_address_max,
-          .idle_seconds = CONNECTION_IDLE_SECONDS,
+          .idle_seconds = PH_CONNECTION_IDLE_SECONDS,
           .requests_max = (uint32_t)node->settings.pipelined_requests };
 
   if (pipeline.requests_max <= 1)
--- a/source/node/pages.c
+++ b/source/node/pages.c
@@ -14,6 +14,7 @@
 #include "pollenhitch/revision.h"
 
 #define MEMBER_STATE_COUNT 4
+#define OMISSIONS_MAX 100 /* on the status page; the count is that of all */
 
 /* Indexed by is_out_of_service. */
 static const char *const data_centre_state_names[] = { "in", "out" };
@@ -42,6 +43,7 @@
 static json_t *
 describe_services (const PhWorld *world)
 {
+  const PhRouteSet *set = world->route_set;
   json_t *list = json_array ();
   PhServiceId id = { 0 };
 
@@ -53,6 +55,15 @@
                                               "configured", service->is_configured, "upstreams",
                                               (json_int_t)service->upstream_count));
     }
+  /* Services that the set of routes names, and that no call and no upstream has needed yet. */
+  for (uint32_t i = 1; set != NULL && i < set->service_count; i++)
+    {
+      const char *name = ph_route_set_text (set, set->services[i].name);
+
+      if (ph_service_find (world, name).v == 0)
+        json_array_append_new (
+            list, json_pack ("{s:s, s:b, s:i}", "name", name, "configured", 1, "upstreams", 0));
+    }
   return list;
 }
 
@@ -92,6 +103,20 @@
   return list;
 }
 
+/* What the set of routes in force leaves out or adjusts, the first OMISSIONS_MAX of it. */
+static json_t *
+describe_omissions (const PhWorld *world)
+{
+  const PhRouteSet *set = world->route_set;
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; set != NULL && i < set->omission_count && i < OMISSIONS_MAX; i++)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:s}", "entry", ph_route_set_text (set, set->omissions[i].entry),
+                         "reason", ph_route_set_text (set, set->omissions[i].reason)));
+  return list;
+}
+
 static json_t *
 describe_upstream (const PhWorld *world)
 {
@@ -144,15 +169,17 @@
 {
   PhWorld *world = node->world;
 
-  return json_pack ("{s:s, s:s, s:s, s:I, s:I, s:I, s:b, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
-                    "name", node->settings.name, "data_centre", node->settings.data_centre,
-                    "region", node->settings.region, "epoch", (json_int_t)world->epoch,
-                    "config_revision", (json_int_t)ph_revision_number (ph_config_newest (world)),
-                    "calls", (json_int_t)world->calls.count, "stopping", world->is_stopping,
-                    "upstream", describe_upstream (world), "store", describe_store (node),
-                    "services", describe_services (world), "data_centres",
-                    describe_data_centres (world), "rejected", describe_rejected_objects (world),
-                    "moves", describe_moves (node), "members", describe_members (world));
+  return json_pack (
+      "{s:s, s:s, s:s, s:I, s:I, s:I, s:b, s:o, s:o, s:o, s:o, s:o, s:I, s:o, s:o, s:o}", "name",
+      node->settings.name, "data_centre", node->settings.data_centre, "region",
+      node->settings.region, "epoch", (json_int_t)world->epoch, "config_revision",
+      (json_int_t)ph_revision_number (ph_config_newest (world)), "calls",
+      (json_int_t)world->calls.count, "stopping", world->is_stopping, "upstream",
+      describe_upstream (world), "store", describe_store (node), "services",
+      describe_services (world), "data_centres", describe_data_centres (world), "rejected",
+      describe_rejected_objects (world), "left_out_count",
+      (json_int_t)ph_config_left_out_count (world), "left_out", describe_omissions (world), "moves",
+      describe_moves (node), "members", describe_members (world));
 }
 
 static json_t *
@@ -299,6 +326,9 @@
   write_gauge (out, "pollenhitch_config_revision",
                "Highest revision of the configuration in force.",
                ph_revision_number (ph_config_newest (world)));
+  write_gauge (out, "pollenhitch_config_left_out",
+               "Objects rejected and entries left out or adjusted in the configuration in force.",
+               ph_config_left_out_count (world));
   write_gauge (out, "pollenhitch_store_era", "Highest era of the store that is known.",
                world->store_era);
   write_gauge (out, "pollenhitch_memory_bytes", "Resident memory.", read_resident_bytes ());
--- a/source/node/probe.c
+++ b/source/node/probe.c
@@ -1,6 +1,7 @@
 #include "node/probe.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "node/dialect.h"
@@ -9,7 +10,6 @@
 #include "pollenhitch/probe.h"
 
 #define RESPONSE_BYTES_MAX (64u * 1024)
-#define URL_MAX 512
 
 /* Passes the result of the open probe to the world. */
 static void
@@ -53,9 +53,9 @@
   const PhUpstream *upstream = ph_upstream_get (&node->world->upstreams, upstream_id);
   const PhService *service
       = upstream != NULL ? ph_service_get (&node->world->services, upstream->service) : NULL;
-  char url[URL_MAX];
+  const char *health_path = service != NULL ? ph_route_health_path (node->world, service) : "";
+  char *url;
   PhTransferOptions opts = { .method = "GET",
-                             .url = url,
                              .fields = fields,
                              .body_size = PH_BODY_NONE,
                              .timeout = PH_PROBE_TIMEOUT,
@@ -72,10 +72,13 @@
   node->probed_upstream = upstream_id;
   node->probe_sent_at = node->ctx.now;
   node->probe_status = 0;
-  snprintf (url, sizeof url, "http://%s:%u%s", node->settings.upstream_address, upstream->port,
-            service != NULL && service->rules.health_path[0] != '\0' ? service->rules.health_path
-                                                                     : node->settings.probe_path);
+  if (asprintf (&url, "http://%s:%u%s", node->settings.upstream_address, upstream->port,
+                health_path[0] != '\0' ? health_path : node->settings.probe_path)
+      < 0)
+    return;
+  opts.url = url;
   node->probe_transfer = ph_fetch_start (node->fetch, &opts, &err);
+  free (url);
   if (node->probe_transfer.v == 0)
     ph_log_error (&node->ctx, PH_LOG_WARNING, &err);
 }
--- a/source/node/server.h
+++ b/source/node/server.h
@@ -10,6 +10,13 @@
  * callers and nodes can be served by different HTTP servers.
  */
 
+/* Heads of requests up to this size pass both fronts and the way to another node, whose fields are
+ * added: libmicrohttpd has 32 KiB for a connection (listener.c). */
+#define PH_REQUEST_HEAD_BYTES (24u * 1024)
+
+/* Seconds after which an idle connection of a caller is closed. */
+#define PH_CONNECTION_IDLE_SECONDS 75
+
 /* Called for each field of a request. value is NULL or "" for an empty field. Returns false to end
  * the iteration. */
 typedef bool (*PhFieldFunc) (void *user, const char *name, const char *value);
--- a/source/node/store.h
+++ b/source/node/store.h
@@ -54,7 +54,7 @@
   const char *after_path; /* LIST: last path of the previous page, "" for the first page */
   uint32_t wait_max_ms;   /* WATCH: time after which the store responds without a change */
   bool allows_stale;      /* LIST: the response may be some seconds old */
-  const char *text;       /* CREATE, REPLACE: text of the object */
+  const char *text;       /* CREATE, REPLACE: text of the object; REPORT: of the move's object */
   const PhMove *move;     /* REPORT, and GET of a report: the move */
   PhMoveOutcome outcome;  /* REPORT: outcome to write */
   PhMoveReason reason;    /* REPORT: reason of the outcome */
--- a/source/node/store_report.c
+++ b/source/node/store_report.c
@@ -74,7 +74,11 @@
   PhMoveId id = find_move_to_report (store);
   const PhMove *move = ph_move_get (&store->node->world->moves, id);
   char path[PH_PATH_MAX];
-  PhStoreCall call = { .path = path, .move = move, .revision = move->object_revision };
+  const PhObjectRow *row = ph_config_find (store->node->world, move->path);
+  PhStoreCall call = { .path = path,
+                       .text = row != NULL ? row->text : NULL,
+                       .move = move,
+                       .revision = move->object_revision };
 
   store->dialect->report_path (store->dialect->user, move, path);
   if (path[0] == '\0')
--- a/source/wire/fields.c
+++ b/source/wire/fields.c
@@ -1,14 +1,11 @@
 #include "pollenhitch/fields.h"
 
 #include <inttypes.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-#define DURATION_MAX_S 1e7
-
 /* Hop-by-hop fields, and those that libmicrohttpd and libcurl set themselves. */
 static const char *const not_forwarded[] = {
   "Connection",
@@ -46,7 +43,7 @@
 }
 
 bool
-ph_duration_parse (const char *text, PhTime *time)
+ph_duration_read (const char *text, double *seconds)
 {
   char *unit;
   double number;
@@ -58,9 +55,18 @@
     number /= 1e3;
   else if (strcmp (unit, "s") != 0)
     return false;
-  if (!isfinite (number) || number > DURATION_MAX_S)
+  *seconds = number;
+  return true;
+}
+
+bool
+ph_duration_parse (const char *text, PhTime *time)
+{
+  double seconds;
+
+  if (!ph_duration_read (text, &seconds) || seconds > (double)PH_DURATION_MAX / PH_SECOND)
     return false;
-  *time = (PhTime)(number * PH_SECOND + 0.5);
+  *time = (PhTime)(seconds * PH_SECOND + 0.5);
   return true;
 }
 
--- a/source/wire/scan.c
+++ b/source/wire/scan.c
@@ -1,5 +1,7 @@
 #include "pollenhitch/scan.h"
 
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 static bool
@@ -68,30 +70,76 @@
   return skip_separator (part, 0, open);
 }
 
+PhJsonStep
+ph_json_next_member (PhJsonPart object, size_t *offset, PhJsonPart *name, PhJsonPart *value)
+{
+  size_t begin = *offset == 0 ? enter (object, '{') : skip_separator (object, *offset, ',');
+  size_t last = object.size - (object.size > 0);
+  size_t name_end;
+  size_t value_begin;
+
+  if (begin == object.size)
+    return *offset != 0 && skip_space (object, *offset) == last && object.text[last] == '}'
+               ? PH_JSON_END
+               : PH_JSON_ERROR;
+  if (*offset == 0 && begin == last && object.text[last] == '}')
+    return PH_JSON_END;
+  if (object.text[begin] != '"')
+    return PH_JSON_ERROR;
+  name_end = skip_string (object, begin);
+  value_begin = skip_separator (object, name_end, ':');
+  *offset = skip_value (object, value_begin);
+  if (*offset >= object.size || *offset == value_begin)
+    return PH_JSON_ERROR;
+  *name = (PhJsonPart){ object.text + begin + 1, name_end - begin - 2 };
+  *value = (PhJsonPart){ object.text + value_begin, *offset - value_begin };
+  return PH_JSON_MEMBER;
+}
+
 bool
 ph_json_member (PhJsonPart object, const char *name, PhJsonPart *value)
 {
-  size_t at = enter (object, '{');
+  size_t size = strlen (name);
+  size_t offset = 0;
+  PhJsonPart found;
 
+  while (ph_json_next_member (object, &offset, &found, value) == PH_JSON_MEMBER)
+    if (found.size == size && memcmp (found.text, name, size) == 0)
+      return true;
   *value = (PhJsonPart){ "", 0 };
-  while (at < object.size && object.text[at] == '"')
-    {
-      size_t name_end = skip_string (object, at);
-      bool is_match = name_end - at == strlen (name) + 2
-                      && memcmp (object.text + at + 1, name, strlen (name)) == 0;
-      size_t begin = skip_separator (object, name_end, ':');
-      size_t end = skip_value (object, begin);
-
-      if (is_match && end < object.size)
-        {
-          *value = (PhJsonPart){ object.text + begin, end - begin };
-          return end > begin;
-        }
-      at = skip_separator (object, end, ',');
-    }
   return false;
 }
 
+bool
+ph_json_number (PhJsonPart value, double *number)
+{
+  char *text = strndup (value.text, value.size);
+  char *end = text;
+
+  *number = 0;
+  if (text != NULL && strspn (text, "+-.0123456789eE") == value.size
+      && (text[0] == '-' || (text[0] >= '0' && text[0] <= '9')))
+    *number = strtod (text, &end);
+  /* Without a conversion, end is the beginning of the text. */
+  value.size = text != NULL && end != text && *end == '\0' ? value.size : 0;
+  free (text);
+  return value.size > 0;
+}
+
+char *
+ph_json_string (PhJsonPart value)
+{
+  json_t *string;
+  char *text;
+
+  if (value.size < 2 || value.text[0] != '"')
+    return NULL;
+  string = json_loadb (value.text, value.size, JSON_DECODE_ANY, NULL);
+  text = json_string_value (string) != NULL ? strdup (json_string_value (string)) : NULL;
+  json_decref (string);
+  return text;
+}
+
 bool
 ph_json_next_element (PhJsonPart array, size_t *offset, PhJsonPart *element)
 {
--- a/tests/fixture.c
+++ b/tests/fixture.c
@@ -88,3 +88,20 @@
 {
   return ph_upstream_get (&fixture->world->upstreams, id);
 }
+
+PhRouteSet *
+fixture_route_set (const PhRouteOptions *routes, uint32_t count)
+{
+  PhServiceRules rules;
+  PhRouteSet *set;
+
+  ph_service_rules_default (&rules);
+  set = ph_route_set_new (&rules);
+  if (set == NULL)
+    abort ();
+  for (uint32_t i = 0; i < count; i++)
+    ph_route_set_add_route (set, &routes[i]);
+  if (!ph_route_set_prepare (set, NULL))
+    abort ();
+  return set;
+}
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -42,6 +42,10 @@
  * is an index into data_centres. */
 void fixture_set_out_of_service (Fixture *fixture, uint32_t dc, bool is_out);
 
+/* fixture_route_set: a prepared set of routes, whose services have the default rules. Aborts the
+ * program on failure. */
+PhRouteSet *fixture_route_set (const PhRouteOptions *routes, uint32_t count);
+
 PhService *fixture_service (Fixture *fixture);
 PhUpstream *fixture_upstream (Fixture *fixture, PhUpstreamId id);
 
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -1,4 +1,7 @@
 #include "pollenhitch/table.h"
+
+#include <string.h>
+
 #include "pollenhitch/timer.h"
 #include "test.h"
 
@@ -122,7 +125,80 @@
   ph_timer_clear (&heap);
 }
 
+static bool
+is_handle (const void *user, uint32_t handle, const char *key)
+{
+  (void)key;
+  return *(const uint32_t *)user == handle;
+}
+
+/* Guards against handles that are lost when an index grows. */
+static void
+test_index_reserve (void)
+{
+  PhIndex index;
+  uint32_t capacity = 1;
+
+  CU_ASSERT_TRUE_FATAL (ph_index_init (&index, capacity, NULL));
+  for (uint32_t handle = 1; handle <= 5000; handle++)
+    {
+      if (handle > capacity)
+        capacity *= 2;
+      CU_ASSERT_TRUE_FATAL (ph_index_reserve (&index, capacity));
+      ph_index_add (&index, ph_hash_mix (handle, 1), handle);
+    }
+  for (uint32_t handle = 1; handle <= 5000; handle++)
+    CU_ASSERT_EQUAL (ph_index_find (&index, ph_hash_mix (handle, 1), is_handle, &handle, NULL),
+                     handle);
+  ph_index_clear (&index);
+}
+
+/* Guards against two long texts that are shortened to the same one, and against half a character at
+ * a cut, for which encoders of JSON reject a whole page. */
+static const struct
+{
+  const char *text;
+  const char *begin; /* of the result; NULL if it is the text itself */
+} short_cases[] = {
+  { "", NULL },
+  { "0123456789012345678901234567890", NULL },
+  { "01234567890123456789012345678901", "012345~" },
+  { "01234567890123456789012345678902", "012345~" },
+  { "0123\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9"
+    "\xc3\xa9\xc3\xa9\xc3\xa9",
+    "0123\xc3\xa9~" },
+  { "01234\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9\xc3\xa9"
+    "\xc3\xa9\xc3\xa9\xc3\xa9",
+    "01234~" },
+  { "0123\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac"
+    "\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac",
+    "0123~" },
+  { "012\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac"
+    "\xe2\x82\xac\xe2\x82\xac\xe2\x82\xac",
+    "012\xe2\x82\xac~" },
+};
+
+static void
+test_short_texts (void)
+{
+  char results[PH_ARRAY_SIZE (short_cases)][PH_SHORT_TEXT_MIN];
+
+  for (size_t i = 0; i < PH_ARRAY_SIZE (short_cases); i++)
+    {
+      const char *begin = short_cases[i].begin != NULL ? short_cases[i].begin : short_cases[i].text;
+
+      ph_text_shorten (results[i], PH_SHORT_TEXT_MIN, short_cases[i].text);
+      if (strncmp (results[i], begin, strlen (begin)) != 0
+          || strlen (results[i]) != strlen (begin) + (short_cases[i].begin != NULL ? 24 : 0))
+        CU_FAIL (short_cases[i].text);
+      for (size_t k = 0; k < i; k++)
+        CU_ASSERT_STRING_NOT_EQUAL (results[i], results[k]);
+    }
+}
+
 static const PhTest tests[] = {
+  { "an index keeps its handles when it grows", test_index_reserve },
+  { "long texts are shortened", test_short_texts },
   { "the table agrees with a naive array", test_table_random },
   { "a full table rejects another row", test_table_full },
   { "the index agrees with a naive set", test_index_random },
