--- a/include/pollenhitch/object.h
+++ b/include/pollenhitch/object.h
@@ -16,8 +16,10 @@
 #define PH_TEAM_MAX 32
 #define PH_SERVICE_MAX 32
 
-#define PH_OBJECT_TEXT_MAX (1u << 20) /* bytes; the largest value that the store accepts */
-#define PH_OBJECT_DEPTH_MAX 8         /* nesting of the JSON text; a valid object has 4 levels */
+/* Bytes of the text of an object: the store accepts values of 1 MiB, here for its spec and for its
+ * status, and the rest is for their names. */
+#define PH_OBJECT_TEXT_MAX ((2u << 20) + 1024)
+#define PH_OBJECT_DEPTH_MAX 8 /* nesting of the JSON text; a valid object has 4 levels */
 #define PH_OBJECT_WALL_TIME_MIN_S 946684800LL  /* 2000-01-01T00:00:00Z */
 #define PH_OBJECT_WALL_TIME_MAX_S 7258118399LL /* 2199-12-31T23:59:59Z */
 
--- a/source/node/request.c
+++ b/source/node/request.c
@@ -11,7 +11,9 @@
 #include "pollenhitch/fields.h"
 
 /* Longest deadline that a request may set: 24 h. */
-#define DEADLINE_MS_MAX (24u * 3600 * 1000)
+/* Longest time that nodes tell each other. Releases before this one refuse a request with a longer
+ * one, and no call lasts as long. */
+#define FIELD_MS_MAX ((uint64_t)24 * 3600 * 1000)
 
 void
 ph_request_add (PhRequest *request, const char *format, ...)
@@ -62,6 +64,15 @@
       ph_request_add (request, "%s:", defaults[i]);
 }
 
+/* A time in milliseconds as it is told to another node. */
+static uint64_t
+field_ms (PhTime time)
+{
+  uint64_t ms = time > 0 ? (uint64_t)(time / PH_MS) : 0;
+
+  return ms < FIELD_MS_MAX ? ms : FIELD_MS_MAX;
+}
+
 /* Adds the fields of a request to another node. */
 static void
 add_peer_fields (PhRequest *request, PhNode *node, const PhCall *call, const PhAttempt *attempt)
@@ -74,8 +85,8 @@
   ph_call_id_format (call->id, id);
   request->id_hash = ph_hash (id);
   ph_request_add (request, PH_FIELD_CALL ": %s", id);
-  ph_request_add (request, PH_FIELD_DEADLINE ": %" PRId64,
-                  ph_call_time_left (&node->ctx, call) / PH_MS);
+  ph_request_add (request, PH_FIELD_DEADLINE ": %" PRIu64,
+                  field_ms (ph_call_time_left (&node->ctx, call)));
   ph_request_add (request, PH_FIELD_DEPTH ": %d", call->depth);
   if (attempt->is_rerun)
     ph_request_add (request, PH_FIELD_RERUN ": true");
@@ -88,9 +99,8 @@
   if (call->priority != 0)
     ph_request_add (request, PH_FIELD_PRIORITY ": %u", call->priority);
   if (call->objective_at != PH_TIME_NEVER)
-    ph_request_add (
-        request, PH_FIELD_OBJECTIVE ": %" PRId64,
-        call->objective_at > node->ctx.now ? (call->objective_at - node->ctx.now) / PH_MS : 0);
+    ph_request_add (request, PH_FIELD_OBJECTIVE ": %" PRIu64,
+                    field_ms (call->objective_at - node->ctx.now));
   if (node->settings.caller_service[0] != '\0')
     ph_request_add (request, PH_FIELD_CALLER ": %s", node->settings.caller_service);
 }
@@ -238,7 +248,7 @@
   opts->can_resend = true;
   opts->is_idempotent = ph_method_is_safe (method);
   if (!read_service (received, service)
-      || !parse_field (received, PH_FIELD_DEADLINE, DEADLINE_MS_MAX, &deadline_ms)
+      || !parse_field (received, PH_FIELD_DEADLINE, FIELD_MS_MAX, &deadline_ms)
       || !parse_field (received, PH_FIELD_DEPTH, UINT8_MAX, &depth))
     return false;
   if (repeatable != NULL && !ph_flag_parse (repeatable, &opts->is_idempotent))
@@ -256,7 +266,7 @@
     return false;
   opts->id = id;
   if (!parse_field (received, PH_FIELD_PRIORITY, UINT8_MAX, &priority)
-      || !parse_field (received, PH_FIELD_OBJECTIVE, DEADLINE_MS_MAX, &objective_ms))
+      || !parse_field (received, PH_FIELD_OBJECTIVE, FIELD_MS_MAX, &objective_ms))
     return false;
   opts->priority = (uint32_t)priority;
   opts->has_alternatives = ph_server_field (received, PH_FIELD_OTHERS) != NULL;
--- a/source/wire/control.x
+++ b/source/wire/control.x
@@ -49,7 +49,7 @@
   bool is_deleted;
   bool is_stub; /* PhMessageObject.is_text_omitted */
   unsigned int packed_from; /* text size in bytes before compression (RFC 1950), 0 for none */
-  opaque text<1048576>;
+  opaque text<2098176>;
 };
 
 struct ph_x_target
--- a/source/wire/control_xdr.c
+++ b/source/wire/control_xdr.c
@@ -147,7 +147,7 @@
 		IXDR_PUT_BOOL(buf, objp->is_stub);
 		IXDR_PUT_U_LONG(buf, objp->packed_from);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
+		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 2098176))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -169,7 +169,7 @@
 		objp->is_stub = IXDR_GET_BOOL(buf);
 		objp->packed_from = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
+		 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 2098176))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -184,7 +184,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->packed_from))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 1048576))
+	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, 2098176))
 		 return FALSE;
 	return TRUE;
 }
