--- a/source/core/config.c
+++ b/source/core/config.c
@@ -215,6 +215,14 @@
     }
 }
 
+/* Whether an object that was put in force is not in force as it is written. */
+static bool
+is_adjusted (const PhWorld *world, const PhObject *object)
+{
+  return object->kind == PH_OBJECT_ROUTES && !object->is_deleted
+         && world->route_set->omission_count > 0;
+}
+
 /* Sets the row's text to a copy. Returns false when memory runs out. */
 static bool
 set_text (PhObjectRow *row, const char *text, size_t size)
@@ -538,9 +546,10 @@
       ph_count (ctx, PH_COUNT_CONFIG_APPLIED, 1);
       ph_event_record (ctx, PH_EVENT_REVISION_IN_FORCE, NULL, path,
                        (int64_t)ph_revision_number (revision));
-      ph_log (ctx, PH_LOG_INFO, PH_STEP_CONFIG, NULL, "%s: revision %llu %s", path,
+      ph_log (ctx, PH_LOG_INFO, PH_STEP_CONFIG, NULL, "%s: revision %llu %s%s", path,
               (unsigned long long)ph_revision_number (revision),
-              row->is_deleted ? "deletes the object" : "is in force");
+              row->is_deleted ? "deletes the object" : "is in force",
+              is_adjusted (world, &row->object) ? ", but for what is left out or adjusted" : "");
     }
   if (world->effects.config_changed != NULL)
     world->effects.config_changed (world->effects.user, id);
--- a/source/wire/scan.c
+++ b/source/wire/scan.c
@@ -126,6 +126,21 @@
   return value.size > 0;
 }
 
+/* Whether a string has ASCII characters only and no escapes: its text is what is between the
+ * quotation marks. */
+static bool
+is_plain (PhJsonPart string)
+{
+  for (size_t i = 1; i + 1 < string.size; i++)
+    {
+      unsigned char c = (unsigned char)string.text[i];
+
+      if (c == '\\' || c == '"' || c < ' ' || c > '~')
+        return false;
+    }
+  return string.text[string.size - 1] == '"';
+}
+
 char *
 ph_json_string (PhJsonPart value)
 {
@@ -134,6 +149,8 @@
 
   if (value.size < 2 || value.text[0] != '"')
     return NULL;
+  if (is_plain (value))
+    return strndup (value.text + 1, value.size - 2);
   string = json_loadb (value.text, value.size, JSON_DECODE_ANY, NULL);
   text = json_string_value (string) != NULL ? strdup (json_string_value (string)) : NULL;
   json_decref (string);
--- a/tests/e2e/large_config.sh
+++ b/tests/e2e/large_config.sh
@@ -75,7 +75,7 @@
   write_version "$(route_of added a.example "/added$count/" book)" "$(services_of $count)"
   check_version "$count services" a.example /added$count/x book
 done
-for count in 2048 2049 5000; do
+for count in 2048 2049 5000 6600; do
   write_version "$(routes_of $count)"
   check_version "$count routes ($(wc -c <"$work_dir/config.json") bytes)" a.example /m$count/x book
 done
