--- a/tests/e2e/large_config.sh
+++ b/tests/e2e/large_config.sh
@@ -98,6 +98,10 @@
 no-integers "timeout":"1.5e3ms","maxAttempts":2.0,"priority":1e0
 unknown-fields "timeout":"2s","z":[[[[[[[[{"host":1}]]]]]]]]
 FIELDS
+write_version "$(route_of none a.example /none/ "$long_service" '"kind":"safe","timeout":"0ms"')"
+check "a time-out of 0: the version is in force" wait_until 2 everywhere is_moved @
+request 1 /none/x
+check "a time-out of 0: requests are refused as not run" [ "$status" = 503 ]
 request 1 /moved/x -H 'Deadline-Ms: 99999999999999999999'
 check "a deadline over 64 bits is no bad request" [ "$status" = 200 ]
 finish
