A route without a time-out keeps the deadline of its calls

Change: a route without a time-out has none, and the deadline of the call or the default of the service applies. The peer of an error is shortened between characters like other names.

Conclusion: what is missing has the effect of a missing value, not of the largest one.

--- a/include/pollenhitch/base.h
+++ b/include/pollenhitch/base.h
@@ -117,7 +117,8 @@
 } PhContext;
 
 /*
- * ph_error_set: fill in an error; the text is cut off where it does not fit.
+ * ph_error_set: fill in an error; the text is cut off where it does not fit, and the peer
+ * shortened.
  *
  * err and peer may be NULL. Always returns false, so that a caller can write
  * "return ph_error_set (...)".
--- a/include/pollenhitch/route_set.h
+++ b/include/pollenhitch/route_set.h
@@ -53,7 +53,7 @@
   uint32_t target_count;
   uint32_t priority;     /* 0 is the most urgent */
   uint32_t attempts_max; /* attempts of one request that may reach an upstream; see call.h */
-  PhTime timeout;        /* time within which a caller gets a response or a refusal */
+  PhTime timeout;        /* time within which a caller gets a response or a refusal; 0 for none */
   PhTime objective;      /* latency up to which a response has its full value; 0 for none */
   PhRouteId row;         /* set by ph_route_apply */
   bool is_idempotent;    /* requests may be executed more than once */
--- a/source/core/base.c
+++ b/source/core/base.c
@@ -69,7 +69,7 @@
     return false;
   err->code = code;
   err->step = step;
-  snprintf (err->peer, sizeof err->peer, "%s", peer != NULL ? peer : "");
+  ph_text_shorten (err->peer, sizeof err->peer, peer != NULL ? peer : "");
   va_start (args, format);
   format_text (err->text, sizeof err->text, format, args);
   va_end (args);
--- a/source/core/route_set.c
+++ b/source/core/route_set.c
@@ -62,7 +62,8 @@
   set->default_rules = *rules;
   if (!ph_index_init (&set->service_index, 16, NULL)
       || RESERVE (set, text, text_size, text_capacity, 1)
-      || RESERVE (set, services, service_count, service_capacity, 1))
+      || RESERVE (set, services, service_count, service_capacity, 1)
+      || RESERVE (set, targets, target_count, target_capacity, 1))
     {
       ph_route_set_drop (set);
       return NULL;
